--- /dev/null
+++ b/call/headers.go
@@ -0,0 +1,109 @@
+package call
+
+import (
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// _hopByHop are the headers that belong to one connection (RFC 9110, 7.6.1).
+var _hopByHop = []string{
+	"Connection",
+	"Proxy-Connection",
+	"Keep-Alive",
+	"Proxy-Authenticate",
+	"Proxy-Authorization",
+	"Te",
+	"Trailer",
+	"Transfer-Encoding",
+	"Upgrade",
+	"Expect",
+}
+
+// removeHopByHop removes the headers that belong to one connection.
+func removeHopByHop(h http.Header) {
+	for _, value := range h["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			if name = textproto.TrimString(name); name != "" {
+				h.Del(name)
+			}
+		}
+	}
+	for _, name := range _hopByHop {
+		h.Del(name)
+	}
+}
+
+// removeOwn removes the system's own headers.
+func removeOwn(h http.Header) {
+	for name := range h {
+		if strings.HasPrefix(name, headerPrefix) {
+			delete(h, name)
+		}
+	}
+}
+
+// isUpgrade reports whether the call asks to change the protocol.
+func isUpgrade(r *http.Request) bool {
+	if r.Method == http.MethodConnect {
+		return true
+	}
+	for _, value := range r.Header["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			if strings.EqualFold(textproto.TrimString(name), "upgrade") {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// remaining returns the time left that a header states, and most when it is
+// absent.
+func remaining(h http.Header, most time.Duration) (time.Duration, error) {
+	text := h.Get(HeaderRemaining)
+	if text == "" {
+		return most, nil
+	}
+	millis, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || millis < 0 {
+		return 0, errors.Newf("%s: %q is not a number of milliseconds", HeaderRemaining, text)
+	}
+	if millis > most.Milliseconds() {
+		return most, nil
+	}
+	return time.Duration(millis) * time.Millisecond, nil
+}
+
+// depth returns how many services the call has passed through.
+func depth(h http.Header) (int, error) {
+	text := h.Get(HeaderDepth)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 0 {
+		return 0, errors.Newf("%s: %q is not a depth", HeaderDepth, text)
+	}
+	return n, nil
+}
+
+func formatRemaining(d time.Duration) string {
+	return strconv.FormatInt(max(0, d.Milliseconds()), 10)
+}
+
+// repeatable reports whether a call may be sent again after an unknown
+// outcome: it is safe (RFC 9110, 9.2.1), so that running it twice harms
+// nobody.
+func repeatable(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/call/outcome.go
@@ -0,0 +1,145 @@
+// Package call carries calls: from the caller to any node, from there to the
+// node that owns the chosen upstream, and to the upstream.
+package call
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Outcome tells what became of a call.
+type Outcome int
+
+// The outcomes of a call. There are no others.
+const (
+	// Answered means that the upstream gave a whole answer.
+	Answered Outcome = iota + 1
+	// NotRun means that the call certainly did not reach the upstream's
+	// handler. Any call may be sent again.
+	NotRun
+	// Unknown means that the call was sent and no whole answer came. Only an
+	// idempotent call may be sent again.
+	Unknown
+)
+
+// String returns the outcome as it stands in HeaderOutcome.
+func (o Outcome) String() string {
+	switch o {
+	case Answered:
+		return "answered"
+	case NotRun:
+		return "not-run"
+	case Unknown:
+		return "unknown"
+	default:
+		return "invalid"
+	}
+}
+
+// Reason tells why a call was not answered.
+type Reason string
+
+// The reasons for calls that were not answered, beside those of admission.
+const (
+	// ReasonNoConfig means that the node holds no configuration yet.
+	ReasonNoConfig Reason = "no-config"
+	// ReasonNoRoute means that no route matches the call.
+	ReasonNoRoute Reason = "no-route"
+	// ReasonNoUpstream means that no upstream of the version takes work.
+	ReasonNoUpstream Reason = "no-upstream"
+	// ReasonUnreachable means that no connection could be made.
+	ReasonUnreachable Reason = "unreachable"
+	// ReasonWrongOwner means that the node is not the one the call was for,
+	// or has restarted since.
+	ReasonWrongOwner Reason = "wrong-owner"
+	// ReasonDeadline means that the call's time is over.
+	ReasonDeadline Reason = "deadline"
+	// ReasonTooDeep means that the call passed through too many services.
+	ReasonTooDeep Reason = "too-deep"
+	// ReasonBadRequest means that the call can't be carried as it is.
+	ReasonBadRequest Reason = "bad-request"
+	// ReasonUpgrade means that the call asks to change the protocol.
+	ReasonUpgrade Reason = "upgrade-not-carried"
+	// ReasonDuplicate means that the call was received before.
+	ReasonDuplicate Reason = "duplicate"
+	// ReasonIdentityFull means that the record of identities has no room.
+	ReasonIdentityFull Reason = "identity-record-full"
+	// ReasonBroken means that the connection broke after the call was sent.
+	ReasonBroken Reason = "broken"
+	// ReasonUnbounded means that the end of the answer can't be told.
+	ReasonUnbounded Reason = "answer-without-length"
+	// ReasonUpstreamRefused means that the upstream itself said not run.
+	ReasonUpstreamRefused Reason = "upstream-refused"
+	// ReasonCanceled means that the caller went away.
+	ReasonCanceled Reason = "canceled"
+)
+
+// Headers of calls and answers.
+const (
+	// HeaderOutcome stands on each answer that is not the upstream's.
+	HeaderOutcome = "Lentilferry-Outcome"
+	// HeaderReason says why, beside HeaderOutcome.
+	HeaderReason = "Lentilferry-Reason"
+	// HeaderRemaining is the time left for a call, in milliseconds. A caller
+	// may set it; an upstream passes it on in the calls that it makes.
+	HeaderRemaining = "Lentilferry-Remaining"
+	// HeaderDepth is how many services a call has passed through. An upstream
+	// passes it on in the calls that it makes.
+	HeaderDepth = "Lentilferry-Depth"
+
+	headerPrefix  = "Lentilferry-"
+	headerCall    = "Lentilferry-Call"
+	headerAttempt = "Lentilferry-Attempt"
+	headerOwner   = "Lentilferry-Owner"
+	headerRoute   = "Lentilferry-Route"
+	headerClass   = "Lentilferry-Class"
+	headerCaller  = "Lentilferry-Caller"
+	headerLoad    = "Lentilferry-Load"
+)
+
+// MaxDepth is how many services a call may pass through.
+const MaxDepth = 9
+
+// Verdict is an outcome with its reason.
+type Verdict struct {
+	Outcome Outcome
+	// Reason is empty for an answered call.
+	Reason Reason
+}
+
+// RetryAfter is the hint given with a refusal.
+const RetryAfter = time.Second
+
+// write sends a verdict other than Answered as the answer.
+func (v Verdict) write(w http.ResponseWriter, status int) {
+	h := w.Header()
+	h.Set(HeaderOutcome, v.Outcome.String())
+	h.Set(HeaderReason, string(v.Reason))
+	if v.Outcome == NotRun && status == http.StatusServiceUnavailable {
+		h.Set("Retry-After", strconv.Itoa(int(RetryAfter/time.Second)))
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(v.Outcome.String() + ": " + string(v.Reason) + "\n"))
+}
+
+// status returns the HTTP status for a verdict that is not Answered.
+func (v Verdict) status() int {
+	switch v.Reason {
+	case ReasonNoRoute:
+		return http.StatusNotFound
+	case ReasonBadRequest:
+		return http.StatusBadRequest
+	case ReasonTooDeep:
+		return http.StatusLoopDetected
+	case ReasonUpgrade:
+		return http.StatusNotImplemented
+	case ReasonDeadline:
+		return http.StatusGatewayTimeout
+	}
+	if v.Outcome == Unknown {
+		return http.StatusBadGateway
+	}
+	return http.StatusServiceUnavailable
+}
--- /dev/null
+++ b/config/config_yaml.go
@@ -0,0 +1,218 @@
+package config
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+)
+
+// MaxDocumentBytes is the largest configuration document, in bytes.
+const MaxDocumentBytes = 1 << 20
+
+type yamlWeight struct {
+	Version string  `yaml:"version"`
+	Share   float64 `yaml:"share"`
+}
+
+type yamlService struct {
+	Name    string       `yaml:"name"`
+	Weights []yamlWeight `yaml:"weights,omitempty"`
+}
+
+type yamlVersion struct {
+	Service string `yaml:"service"`
+	Name    string `yaml:"name"`
+}
+
+type yamlRoute struct {
+	Name       string `yaml:"name"`
+	Service    string `yaml:"service"`
+	Host       string `yaml:"host,omitempty"`
+	PathPrefix string `yaml:"pathPrefix"`
+	Class      string `yaml:"class"`
+	Timeout    string `yaml:"timeout"`
+}
+
+type yamlPolicy struct {
+	Service              string    `yaml:"service"`
+	Stages               []float64 `yaml:"stages,omitempty"`
+	MinDwell             string    `yaml:"minDwell,omitempty"`
+	MinStageCalls        *uint64   `yaml:"minStageCalls,omitempty"`
+	ConvergenceAllowance string    `yaml:"convergenceAllowance,omitempty"`
+}
+
+type yamlConfig struct {
+	Services []yamlService `yaml:"services"`
+	Versions []yamlVersion `yaml:"versions"`
+	Routes   []yamlRoute   `yaml:"routes"`
+	Policies []yamlPolicy  `yaml:"policies,omitempty"`
+}
+
+// ParseYAML reads a configuration document. Weights that a service leaves out
+// are taken from current, which is the configuration in force; weights that
+// differ from it are a fault, since only a rollout moves traffic. The error
+// is a Faults when the document can be read but not used.
+func ParseYAML(document []byte, current Config) (Config, error) {
+	if len(document) > MaxDocumentBytes {
+		return Config{}, Faults{{Field: "document", Problem: fmt.Sprintf("has %d bytes; the most is %d", len(document), MaxDocumentBytes)}}
+	}
+	var wire yamlConfig
+	decoder := yaml.NewDecoder(bytes.NewReader(document), yaml.Strict())
+	if err := decoder.Decode(&wire); err != nil {
+		return Config{}, errors.Newf("the document is not a configuration: %s", strings.TrimSpace(yaml.FormatError(err, false, true)))
+	}
+	p := yamlParser{current: current}
+	c := p.config(wire)
+	if faults := append(p.faults, Check(c)...); len(faults) > 0 {
+		return Config{}, faults
+	}
+	return c, nil
+}
+
+type yamlParser struct {
+	current Config
+	faults  Faults
+}
+
+func (p *yamlParser) fault(field, format string, args ...any) {
+	p.faults = append(p.faults, Fault{Field: field, Problem: fmt.Sprintf(format, args...)})
+}
+
+func (p *yamlParser) config(wire yamlConfig) Config {
+	var c Config
+	for _, v := range wire.Versions {
+		c.Versions = append(c.Versions, Version{Service: ServiceName(v.Service), Name: VersionName(v.Name)})
+	}
+	for _, s := range wire.Services {
+		c.Services = append(c.Services, p.service(s))
+	}
+	for _, r := range wire.Routes {
+		c.Routes = append(c.Routes, p.route(r))
+	}
+	for _, policy := range wire.Policies {
+		c.Policies = append(c.Policies, p.policy(policy))
+	}
+	return c
+}
+
+func (p *yamlParser) service(wire yamlService) Service {
+	s := Service{Name: ServiceName(wire.Name)}
+	field := fmt.Sprintf("services[%s].weights", wire.Name)
+	for _, w := range wire.Weights {
+		share := p.share(field, w.Share)
+		s.Weights = append(s.Weights, Weight{Version: VersionName(w.Version), Share: share})
+	}
+	slices.SortFunc(s.Weights, func(a, b Weight) int { return strings.Compare(string(a.Version), string(b.Version)) })
+	existing, found := p.current.Service(s.Name)
+	if !found {
+		return s
+	}
+	s.Rollout = existing.Rollout
+	if len(s.Weights) > 0 && !slices.Equal(s.Weights, existing.Weights) {
+		p.fault(field, "differ from the shares in force; leave weights out and move traffic with 'lentilferry plan'")
+	}
+	s.Weights = existing.Weights
+	return s
+}
+
+func (p *yamlParser) share(field string, percent float64) Share {
+	if math.IsNaN(percent) || percent < 0 || percent > 100 {
+		p.fault(field, "%g is not a share; use 0 to 100 per cent", percent)
+		return 0
+	}
+	return Share(math.Round(percent * float64(SharePerPercent)))
+}
+
+func (p *yamlParser) duration(field, text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		p.fault(field, "%q is not a duration; write it as 2s or 500ms", text)
+		return time.Second
+	}
+	return d
+}
+
+func (p *yamlParser) route(wire yamlRoute) Route {
+	field := fmt.Sprintf("routes[%s]", wire.Name)
+	r := Route{
+		Name:       RouteName(wire.Name),
+		Service:    ServiceName(wire.Service),
+		Host:       wire.Host,
+		PathPrefix: wire.PathPrefix,
+		Timeout:    p.duration(field+".timeout", wire.Timeout),
+	}
+	switch wire.Class {
+	case ClassLookup.String():
+		r.Class = ClassLookup
+	case ClassCommand.String():
+		r.Class = ClassCommand
+	}
+	return r
+}
+
+func (p *yamlParser) policy(wire yamlPolicy) Policy {
+	field := fmt.Sprintf("policies[%s]", wire.Service)
+	policy := DefaultPolicy(ServiceName(wire.Service))
+	if len(wire.Stages) > 0 {
+		policy.Stages = nil
+	}
+	for _, s := range wire.Stages {
+		policy.Stages = append(policy.Stages, p.share(field+".stages", s))
+	}
+	if wire.MinDwell != "" {
+		policy.MinDwell = p.duration(field+".minDwell", wire.MinDwell)
+	}
+	if wire.MinStageCalls != nil {
+		policy.MinStageCalls = *wire.MinStageCalls
+	}
+	if wire.ConvergenceAllowance != "" {
+		policy.ConvergenceAllowance = p.duration(field+".convergenceAllowance", wire.ConvergenceAllowance)
+	}
+	return policy
+}
+
+// FormatYAML writes a configuration as a document that ParseYAML reads.
+func FormatYAML(c Config) ([]byte, error) {
+	var wire yamlConfig
+	for _, s := range c.Services {
+		service := yamlService{Name: string(s.Name)}
+		for _, w := range s.Weights {
+			service.Weights = append(service.Weights, yamlWeight{Version: string(w.Version), Share: w.Share.Percent()})
+		}
+		wire.Services = append(wire.Services, service)
+	}
+	for _, v := range c.Versions {
+		wire.Versions = append(wire.Versions, yamlVersion{Service: string(v.Service), Name: string(v.Name)})
+	}
+	for _, r := range c.Routes {
+		wire.Routes = append(wire.Routes, yamlRoute{
+			Name: string(r.Name), Service: string(r.Service), Host: r.Host,
+			PathPrefix: r.PathPrefix, Class: r.Class.String(), Timeout: r.Timeout.String(),
+		})
+	}
+	for _, p := range c.Policies {
+		wire.Policies = append(wire.Policies, formatPolicy(p))
+	}
+	document, err := yaml.Marshal(wire)
+	return document, errors.Wrap(err, "format configuration")
+}
+
+func formatPolicy(p Policy) yamlPolicy {
+	calls := p.MinStageCalls
+	wire := yamlPolicy{
+		Service:              string(p.Service),
+		MinDwell:             p.MinDwell.String(),
+		MinStageCalls:        &calls,
+		ConvergenceAllowance: p.ConvergenceAllowance.String(),
+	}
+	for _, s := range p.Stages {
+		wire.Stages = append(wire.Stages, s.Percent())
+	}
+	return wire
+}
--- /dev/null
+++ b/evidence/collector.go
@@ -0,0 +1,118 @@
+package evidence
+
+import (
+	"sync"
+	"time"
+
+	"lentilferry.example/lentilferry/membership"
+)
+
+// Report is one node's cumulative counts for one rollout.
+type Report struct {
+	Rollout     string
+	From        membership.NodeID
+	Incarnation uint64
+	// Sequence grows with each report of the incarnation.
+	Sequence uint64
+	Tallies  []Tally
+}
+
+// _reportLifetime is how long the counts of a rollout that nobody reports on
+// are kept.
+const _reportLifetime = 5 * time.Minute
+
+// Collector merges the reports of a zone. Reports are cumulative, so that a
+// repeated or late one counts once. It is safe for concurrent use.
+type Collector struct {
+	mu       sync.Mutex
+	rollouts map[string]*collection
+}
+
+type collection struct {
+	// latest holds each incarnation's newest report.
+	latest map[reporter]Report
+	// heard is when the newest report came.
+	heard time.Time
+}
+
+type reporter struct {
+	node        membership.NodeID
+	incarnation uint64
+}
+
+// NewCollector returns an empty collector.
+func NewCollector() *Collector {
+	return &Collector{rollouts: make(map[string]*collection)}
+}
+
+// Take takes in a report and reports whether it was news.
+func (c *Collector) Take(now time.Time, r Report) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.forget(now)
+	held, ok := c.rollouts[r.Rollout]
+	if !ok {
+		held = &collection{latest: make(map[reporter]Report)}
+		c.rollouts[r.Rollout] = held
+	}
+	who := reporter{node: r.From, incarnation: r.Incarnation}
+	if known, ok := held.latest[who]; ok && known.Sequence >= r.Sequence {
+		return false
+	}
+	held.latest[who] = r
+	held.heard = now
+	return true
+}
+
+func (c *Collector) forget(now time.Time) {
+	for rollout, held := range c.rollouts {
+		if now.Sub(held.heard) > _reportLifetime {
+			delete(c.rollouts, rollout)
+		}
+	}
+}
+
+// Summary is what a zone knows of a rollout.
+type Summary struct {
+	// Reporters is the number of nodes that have reported.
+	Reporters int
+	// Tallies holds the sums by key, sorted.
+	Tallies []Tally
+}
+
+// Summary returns the sums of a rollout.
+func (c *Collector) Summary(rollout string) Summary {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	held, ok := c.rollouts[rollout]
+	if !ok {
+		return Summary{}
+	}
+	sums := make(map[Key]Tally)
+	nodes := make(map[membership.NodeID]bool)
+	for who, report := range held.latest {
+		nodes[who.node] = true
+		for _, t := range report.Tallies {
+			sum := sums[t.Key]
+			sum.Key = t.Key
+			sums[t.Key] = sum.Plus(t)
+		}
+	}
+	summary := Summary{Reporters: len(nodes)}
+	for _, t := range sums {
+		summary.Tallies = append(summary.Tallies, t)
+	}
+	sortTallies(summary.Tallies)
+	return summary
+}
+
+// Rollouts returns the rollouts with reports.
+func (c *Collector) Rollouts() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ids := make([]string, 0, len(c.rollouts))
+	for id := range c.rollouts {
+		ids = append(ids, id)
+	}
+	return ids
+}
--- /dev/null
+++ b/evidence/detector.go
@@ -0,0 +1,216 @@
+package evidence
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"lentilferry.example/lentilferry/config"
+	"lentilferry.example/lentilferry/membership"
+)
+
+const (
+	// _falseAlarm is the probability of a false alarm that the threshold of
+	// one test is set for.
+	_falseAlarm = 1e-4
+	// _slowQuantile and _slowFactor set the latency above which a call is
+	// slow: that many times the quantile of the baseline, and _slowMargin.
+	_slowQuantile = 0.9
+	_slowFactor   = 1.25
+	_slowMargin   = time.Millisecond
+	// _slowAfterCalls is how many calls of the baseline set that latency.
+	_slowAfterCalls = 50
+	// _coldCalls is how many of the candidate's first calls on a route in a
+	// zone are not tested for slowness.
+	_coldCalls = 5
+)
+
+// Verdict is what a detector says of a candidate.
+type Verdict struct {
+	Bad bool
+	// Reason says what was found and where; empty unless Bad.
+	Reason string
+	// CandidateCalls and CandidateFailures count the candidate's calls.
+	CandidateCalls    uint64
+	CandidateFailures uint64
+	// BaselineCalls counts the baseline's calls.
+	BaselineCalls uint64
+}
+
+// Detector tests a rollout's candidate against its baseline.
+type Detector struct {
+	baseline  config.VersionName
+	candidate config.VersionName
+	// latest holds the newest cumulative tally of each source.
+	latest map[source]Tally
+	// collectors holds who gave a zone's newest tallies.
+	collectors map[membership.Zone]string
+	streams    map[streamKey]*stream
+	verdict    Verdict
+}
+
+type source struct {
+	zone membership.Zone
+	key  Key
+}
+
+// streamKey names the calls that one test looks at. An empty zone stands for
+// all zones.
+type streamKey struct {
+	zone  membership.Zone
+	route config.RouteName
+}
+
+// stream is the calls of both versions in one place.
+type stream struct {
+	failures sequentialTest
+	slowness sequentialTest
+	// pending holds calls until both versions have some.
+	pendingCandidate Tally
+	pendingBaseline  Tally
+	// candidate and baseline hold all calls so far.
+	candidate Tally
+	baseline  Tally
+	// slow is the latency above which a call is slow; 0 until it is known.
+	slow time.Duration
+	// baselineSlow counts the baseline's calls tested for slowness.
+	baselineSlow sample
+}
+
+// NewDetector returns a detector that has seen nothing.
+func NewDetector(baseline, candidate config.VersionName) *Detector {
+	return &Detector{
+		baseline:   baseline,
+		candidate:  candidate,
+		latest:     make(map[source]Tally),
+		collectors: make(map[membership.Zone]string),
+		streams:    make(map[streamKey]*stream),
+	}
+}
+
+// Observe takes in a zone's cumulative tallies. When another collector than
+// before gave them, they only set the start from which calls are counted.
+func (d *Detector) Observe(zone membership.Zone, collector string, tallies []Tally) {
+	known, seen := d.collectors[zone]
+	rebase := seen && known != collector
+	d.collectors[zone] = collector
+	fresh := make(map[streamKey]bool)
+	for _, t := range tallies {
+		from := source{zone: zone, key: t.Key}
+		difference, ok := t.minus(d.latest[from])
+		d.latest[from] = t
+		if rebase || !ok || difference.Calls == 0 {
+			continue
+		}
+		for _, key := range []streamKey{{zone: zone, route: t.Key.Route}, {route: t.Key.Route}} {
+			d.stream(key).add(difference, t.Key.Version == d.candidate)
+			fresh[key] = true
+		}
+		d.count(difference)
+	}
+	for key := range fresh {
+		d.streams[key].test()
+		d.judge(key, d.streams[key])
+	}
+}
+
+func (d *Detector) count(t Tally) {
+	switch t.Key.Version {
+	case d.candidate:
+		d.verdict.CandidateCalls += t.Calls
+		d.verdict.CandidateFailures += t.Failures
+	case d.baseline:
+		d.verdict.BaselineCalls += t.Calls
+	}
+}
+
+func (d *Detector) stream(key streamKey) *stream {
+	s, ok := d.streams[key]
+	if !ok {
+		s = &stream{}
+		d.streams[key] = s
+	}
+	return s
+}
+
+// judge compares the stream's evidence with the threshold, which allows for
+// the number of tests.
+func (d *Detector) judge(key streamKey, s *stream) {
+	if d.verdict.Bad {
+		return
+	}
+	threshold := math.Log(float64(2*len(d.streams)) / _falseAlarm)
+	place := fmt.Sprintf("route %s", key.route)
+	if key.zone != "" {
+		place += fmt.Sprintf(" in zone %s", key.zone)
+	}
+	switch {
+	case s.failures.evidence() >= threshold:
+		d.verdict.Bad = true
+		d.verdict.Reason = fmt.Sprintf("%s fails on %s: %d of %d calls, %s %d of %d",
+			d.candidate, place, s.candidate.Failures, s.candidate.Calls, d.baseline, s.baseline.Failures, s.baseline.Calls)
+	case s.slowness.evidence() >= threshold:
+		d.verdict.Bad = true
+		d.verdict.Reason = fmt.Sprintf("%s is slow on %s: %d of %d calls took over %s, %s %d of %d",
+			d.candidate, place, s.candidate.Latency.Above(s.slow), s.candidate.Calls, s.slow,
+			d.baseline, s.baseline.Latency.Above(s.slow), s.baseline.Calls)
+	}
+}
+
+// Verdict returns what the detector says by now.
+func (d *Detector) Verdict() Verdict {
+	return d.verdict
+}
+
+func (s *stream) add(t Tally, candidate bool) {
+	if candidate {
+		s.pendingCandidate = s.pendingCandidate.Plus(t)
+		s.candidate = s.candidate.Plus(t)
+		return
+	}
+	s.pendingBaseline = s.pendingBaseline.Plus(t)
+	s.baseline = s.baseline.Plus(t)
+}
+
+// _aloneAfterCalls is how many of the candidate's calls without any of the
+// baseline's are tested against the baseline's past.
+const _aloneAfterCalls = 20
+
+// test takes the pending calls into the tests.
+func (s *stream) test() {
+	candidate, baseline := s.pendingCandidate, s.pendingBaseline
+	alone := baseline.Calls == 0 && candidate.Calls >= _aloneAfterCalls && s.baseline.Calls > 0
+	if !alone && (candidate.Calls == 0 || baseline.Calls == 0) {
+		return
+	}
+	s.pendingCandidate, s.pendingBaseline = Tally{}, Tally{}
+	failed := sample{calls: candidate.Calls, bad: candidate.Failures}
+	if alone {
+		s.failures.against(failed, pastRate(sample{calls: s.baseline.Calls, bad: s.baseline.Failures}))
+	} else {
+		s.failures.compare(failed, sample{calls: baseline.Calls, bad: baseline.Failures})
+	}
+	s.testSlowness(candidate, baseline, alone)
+}
+
+func (s *stream) testSlowness(candidate, baseline Tally, alone bool) {
+	if s.slow == 0 && s.baseline.Calls >= _slowAfterCalls {
+		s.slow = time.Duration(float64(s.baseline.Latency.Quantile(_slowQuantile))*_slowFactor) + _slowMargin
+	}
+	if s.slow == 0 || s.candidate.Calls-candidate.Calls < _coldCalls {
+		return
+	}
+	slow := sample{calls: candidate.Calls, bad: candidate.Latency.Above(s.slow)}
+	if alone {
+		s.slowness.against(slow, pastRate(s.baselineSlow))
+		return
+	}
+	reference := sample{calls: baseline.Calls, bad: baseline.Latency.Above(s.slow)}
+	s.baselineSlow = s.baselineSlow.plus(reference)
+	s.slowness.compare(slow, reference)
+}
+
+// pastRate returns the rate of bad calls, never quite 0.
+func pastRate(past sample) float64 {
+	return (float64(past.bad) + 1) / (float64(past.calls) + 2)
+}
--- /dev/null
+++ b/internal/fakes/fakeplatform/platform.go
@@ -0,0 +1,250 @@
+// Package fakeplatform is a small stand-in for the platform's object API,
+// with the failures that the real one has.
+package fakeplatform
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lentilferry.example/lentilferry/platform"
+)
+
+// _historyLength is how many changes a watch can look back on.
+const _historyLength = 4_096
+
+// Faults are the failures that the store shows while they are set.
+type Faults struct {
+	// Down fails each call before it takes effect.
+	Down bool
+	// LoseAnswers lets writes take effect and then loses their answers.
+	LoseAnswers bool
+	// Delay holds each call back.
+	Delay time.Duration
+	// DropEvents leaves the changes that happen meanwhile out of watches.
+	DropEvents bool
+	// ReverseEvents hands each batch of watch events out newest first.
+	ReverseEvents bool
+}
+
+// Calls counts the calls to the store.
+type Calls struct {
+	Reads   uint64
+	Writes  uint64
+	Watches uint64
+}
+
+// Platform is an in-memory object store.
+type Platform struct {
+	mu      sync.Mutex
+	objects map[platform.Key]platform.Object
+	// version is that of the newest write and only grows.
+	version uint64
+	// history holds the newest changes, oldest first.
+	history   []platform.Event
+	compacted uint64
+	changed   chan struct{}
+	faults    Faults
+	calls     Calls
+}
+
+// New returns an empty store.
+func New() *Platform {
+	return &Platform{
+		objects: make(map[platform.Key]platform.Object),
+		changed: make(chan struct{}),
+	}
+}
+
+// SetFaults replaces the failures that the store shows.
+func (p *Platform) SetFaults(f Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+	p.wake()
+}
+
+// Calls returns how many calls the store has had.
+func (p *Platform) Calls() Calls {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls
+}
+
+// CompactHistory makes watches that look back fail.
+func (p *Platform) CompactHistory() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.history = nil
+	p.compacted = p.version
+	p.wake()
+}
+
+func (p *Platform) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// begin counts a call, holds it back and reports whether it fails.
+func (p *Platform) begin(ctx context.Context, count func(*Calls)) (Faults, error) {
+	p.mu.Lock()
+	count(&p.calls)
+	faults := p.faults
+	p.mu.Unlock()
+	if faults.Delay > 0 {
+		select {
+		case <-time.After(faults.Delay):
+		case <-ctx.Done():
+			return faults, errors.Mark(ctx.Err(), platform.ErrUnavailable)
+		}
+	}
+	if faults.Down {
+		return faults, errors.Wrap(platform.ErrUnavailable, "the stand-in is down")
+	}
+	return faults, nil
+}
+
+// Get reads one object.
+func (p *Platform) Get(ctx context.Context, key platform.Key) (platform.Object, error) {
+	if _, err := p.begin(ctx, func(c *Calls) { c.Reads++ }); err != nil {
+		return platform.Object{}, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	object, ok := p.objects[key]
+	if !ok {
+		return platform.Object{}, errors.Wrapf(platform.ErrNotFound, "read %s", key)
+	}
+	return object, nil
+}
+
+// List reads all objects of a kind.
+func (p *Platform) List(ctx context.Context, kind platform.Kind) ([]platform.Object, uint64, error) {
+	if _, err := p.begin(ctx, func(c *Calls) { c.Reads++ }); err != nil {
+		return nil, 0, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var objects []platform.Object
+	for key, object := range p.objects {
+		if key.Kind == kind {
+			objects = append(objects, object)
+		}
+	}
+	slices.SortFunc(objects, func(a, b platform.Object) int { return strings.Compare(a.Key.Name, b.Key.Name) })
+	return objects, p.version, nil
+}
+
+// Create writes an object that must not exist.
+func (p *Platform) Create(ctx context.Context, key platform.Key, value []byte) platform.WriteOutcome {
+	return p.write(ctx, key, func(_ platform.Object, found bool) bool { return !found }, value, false)
+}
+
+// Update writes an object that must have the given version.
+func (p *Platform) Update(ctx context.Context, key platform.Key, version uint64, value []byte) platform.WriteOutcome {
+	return p.write(ctx, key, hasVersion(version), value, false)
+}
+
+// Delete removes an object that must have the given version.
+func (p *Platform) Delete(ctx context.Context, key platform.Key, version uint64) platform.WriteOutcome {
+	return p.write(ctx, key, hasVersion(version), nil, true)
+}
+
+func hasVersion(version uint64) func(platform.Object, bool) bool {
+	return func(o platform.Object, found bool) bool { return found && o.Version == version }
+}
+
+func (p *Platform) write(
+	ctx context.Context,
+	key platform.Key,
+	holds func(platform.Object, bool) bool,
+	value []byte,
+	remove bool,
+) platform.WriteOutcome {
+	faults, err := p.begin(ctx, func(c *Calls) { c.Writes++ })
+	if err != nil {
+		return platform.WriteOutcome{Result: platform.Unknown, Err: err}
+	}
+	if len(value) > platform.MaxValueBytes {
+		return platform.WriteOutcome{Result: platform.NotWritten, Err: platform.ErrTooLarge}
+	}
+	outcome := p.apply(key, holds, value, remove)
+	if faults.LoseAnswers {
+		return platform.WriteOutcome{Result: platform.Unknown, Err: errors.Wrap(platform.ErrUnavailable, "the answer was lost")}
+	}
+	return outcome
+}
+
+func (p *Platform) apply(key platform.Key, holds func(platform.Object, bool) bool, value []byte, remove bool) platform.WriteOutcome {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	object, found := p.objects[key]
+	if !holds(object, found) {
+		return platform.WriteOutcome{Result: platform.NotWritten, Err: errors.Wrapf(platform.ErrConflict, "write %s", key)}
+	}
+	p.version++
+	object = platform.Object{Key: key, Version: p.version, Value: slices.Clone(value)}
+	if remove {
+		delete(p.objects, key)
+	} else {
+		p.objects[key] = object
+	}
+	p.record(platform.Event{Object: object, Deleted: remove})
+	return platform.WriteOutcome{Result: platform.Written, Version: p.version}
+}
+
+func (p *Platform) record(e platform.Event) {
+	if p.faults.DropEvents {
+		return
+	}
+	p.history = append(p.history, e)
+	if len(p.history) > _historyLength {
+		p.compacted = p.history[0].Object.Version
+		p.history = p.history[1:]
+	}
+	p.wake()
+}
+
+// Watch waits until an object of the kind changes after the given version,
+// or the context ends, which gives no events.
+func (p *Platform) Watch(ctx context.Context, kind platform.Kind, after uint64) (platform.Events, error) {
+	if _, err := p.begin(ctx, func(c *Calls) { c.Watches++ }); err != nil {
+		return platform.Events{}, err
+	}
+	for {
+		events, changed, err := p.eventsAfter(kind, after)
+		if err != nil || len(events.Events) > 0 {
+			return events, err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return events, nil
+		}
+	}
+}
+
+func (p *Platform) eventsAfter(kind platform.Kind, after uint64) (platform.Events, <-chan struct{}, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.faults.Down {
+		return platform.Events{}, nil, errors.Wrap(platform.ErrUnavailable, "the stand-in is down")
+	}
+	if after < p.compacted {
+		return platform.Events{}, nil, errors.Wrapf(platform.ErrCompacted, "watch %s after %d", kind, after)
+	}
+	events := platform.Events{Next: p.version}
+	for _, e := range p.history {
+		if e.Object.Key.Kind == kind && e.Object.Version > after {
+			events.Events = append(events.Events, e)
+		}
+	}
+	if p.faults.ReverseEvents {
+		slices.Reverse(events.Events)
+	}
+	return events, p.changed, nil
+}
--- /dev/null
+++ b/internal/fakes/fakeplatform/platform_http.go
@@ -0,0 +1,138 @@
+package fakeplatform
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lentilferry.example/lentilferry/platform"
+)
+
+const (
+	// _maxWatch is the longest time that a watch is held.
+	_maxWatch = time.Minute
+	// _answerLost is the status that tells a client nothing of a write.
+	_answerLost = http.StatusBadGateway
+)
+
+// Handler serves the object API over HTTP.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/objects/{kind}", p.serveList)
+	mux.HandleFunc("GET /v1/objects/{kind}/{name}", p.serveGet)
+	mux.HandleFunc("PUT /v1/objects/{kind}/{name}", p.servePut)
+	mux.HandleFunc("DELETE /v1/objects/{kind}/{name}", p.serveDelete)
+	mux.HandleFunc("GET /v1/watch/{kind}", p.serveWatch)
+	return mux
+}
+
+func keyOf(r *http.Request) platform.Key {
+	return platform.Key{Kind: platform.Kind(r.PathValue("kind")), Name: r.PathValue("name")}
+}
+
+func (p *Platform) serveGet(w http.ResponseWriter, r *http.Request) {
+	object, err := p.Get(r.Context(), keyOf(r))
+	if err != nil {
+		failRead(w, err)
+		return
+	}
+	answer(w, platform.ToWire(object))
+}
+
+func (p *Platform) serveList(w http.ResponseWriter, r *http.Request) {
+	objects, next, err := p.List(r.Context(), platform.Kind(r.PathValue("kind")))
+	if err != nil {
+		failRead(w, err)
+		return
+	}
+	list := platform.WireList{Next: next}
+	for _, o := range objects {
+		list.Objects = append(list.Objects, platform.ToWire(o))
+	}
+	answer(w, list)
+}
+
+func (p *Platform) serveWatch(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after is not a number", http.StatusBadRequest)
+		return
+	}
+	limit, err := time.ParseDuration(r.URL.Query().Get("timeout"))
+	if err != nil || limit > _maxWatch {
+		limit = _maxWatch
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), limit)
+	defer cancel()
+	events, err := p.Watch(ctx, platform.Kind(r.PathValue("kind")), after)
+	if err != nil {
+		failRead(w, err)
+		return
+	}
+	list := platform.WireList{Next: events.Next}
+	for _, e := range events.Events {
+		wire := platform.ToWire(e.Object)
+		wire.Deleted = e.Deleted
+		list.Objects = append(list.Objects, wire)
+	}
+	answer(w, list)
+}
+
+func (p *Platform) servePut(w http.ResponseWriter, r *http.Request) {
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValueBytes))
+	if err != nil {
+		http.Error(w, "the value can't be read or is too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	if r.Header.Get("If-None-Match") == "*" {
+		answerWrite(w, p.Create(r.Context(), keyOf(r), value))
+		return
+	}
+	version, err := strconv.ParseUint(r.Header.Get("If-Match"), 10, 64)
+	if err != nil {
+		http.Error(w, "If-Match is not a version", http.StatusBadRequest)
+		return
+	}
+	answerWrite(w, p.Update(r.Context(), keyOf(r), version, value))
+}
+
+func (p *Platform) serveDelete(w http.ResponseWriter, r *http.Request) {
+	version, err := strconv.ParseUint(r.Header.Get("If-Match"), 10, 64)
+	if err != nil {
+		http.Error(w, "If-Match is not a version", http.StatusBadRequest)
+		return
+	}
+	answerWrite(w, p.Delete(r.Context(), keyOf(r), version))
+}
+
+func answer(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func answerWrite(w http.ResponseWriter, outcome platform.WriteOutcome) {
+	switch outcome.Result {
+	case platform.Written:
+		answer(w, platform.WireObject{Version: outcome.Version})
+	case platform.NotWritten:
+		http.Error(w, outcome.Err.Error(), http.StatusConflict)
+	default:
+		http.Error(w, outcome.Err.Error(), _answerLost)
+	}
+}
+
+func failRead(w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	case errors.Is(err, platform.ErrCompacted):
+		http.Error(w, err.Error(), http.StatusGone)
+	default:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	}
+}
--- /dev/null
+++ b/membership/table.go
@@ -0,0 +1,407 @@
+package membership
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Timing holds the periods of failure detection.
+type Timing struct {
+	// Suspicion is how long a suspected member has to refute.
+	Suspicion time.Duration
+	// Tombstone is how long a member that is gone is remembered.
+	Tombstone time.Duration
+	// SyncEvery is the least time between two whole reconciliations.
+	SyncEvery time.Duration
+}
+
+// DefaultTiming returns the periods for zones of about a hundred nodes.
+func DefaultTiming() Timing {
+	return Timing{
+		Suspicion: 4 * time.Second,
+		Tombstone: time.Hour,
+		SyncEvery: 5 * time.Second,
+	}
+}
+
+const (
+	// _maxUpdates bounds the records piggybacked on one message.
+	_maxUpdates = 12
+	// _spread multiplies the logarithm of the zone's size to give how often
+	// a record is passed on.
+	_spread = 3
+)
+
+// ZoneDigest sums up what a node knows of one zone.
+type ZoneDigest struct {
+	Zone Zone
+	Hash uint64
+	// Age is the time since the word left the zone.
+	Age time.Duration
+}
+
+// Table is one node's view of all members. It is safe for concurrent use:
+// each zone is a shard with a lock of its own.
+type Table struct {
+	timing Timing
+
+	selfMu sync.Mutex
+	// self is this node's own record, of which it alone raises the sequence.
+	self Member
+
+	zonesMu sync.RWMutex
+	zones   map[Zone]*shard
+
+	queueMu sync.Mutex
+	// queue holds the records still to be passed on.
+	queue []queued
+
+	probeMu sync.Mutex
+	// order is a shuffled round of the zone's members.
+	order []NodeID
+	rnd   *rand.Rand
+
+	// generation grows with each change of any record.
+	generation atomic.Uint64
+}
+
+type shard struct {
+	mu      sync.Mutex
+	members map[NodeID]*record
+	// hash is the exclusive or of all records' hashes.
+	hash uint64
+	// heard is when the newest word left the zone.
+	heard time.Time
+	// synced is when the zone was last reconciled whole.
+	synced time.Time
+}
+
+type record struct {
+	member Member
+	// since is when the member was suspected or gone.
+	since time.Time
+}
+
+type queued struct {
+	member Member
+	// left is how often the record is still passed on; above zero.
+	left int
+}
+
+// New returns a table that knows only this node.
+func New(timing Timing, self Member, rnd *rand.Rand, now time.Time) *Table {
+	t := &Table{timing: timing, self: self, zones: make(map[Zone]*shard), rnd: rnd}
+	t.Merge(now, self)
+	return t
+}
+
+// Self returns this node's own record.
+func (t *Table) Self() Member {
+	t.selfMu.Lock()
+	defer t.selfMu.Unlock()
+	return t.self
+}
+
+// Generation returns a number that changes with any record.
+func (t *Table) Generation() uint64 {
+	return t.generation.Load()
+}
+
+// Announce changes this node's own record and passes it on.
+func (t *Table) Announce(now time.Time, change func(*Member)) {
+	t.selfMu.Lock()
+	before := t.self
+	change(&t.self)
+	if t.self == before {
+		t.selfMu.Unlock()
+		return
+	}
+	t.self.Sequence++
+	self := t.self
+	t.selfMu.Unlock()
+	t.Merge(now, self)
+}
+
+// Merge takes in word of a member and reports whether it was news. Word of
+// this node that is not its own is refuted.
+func (t *Table) Merge(now time.Time, m Member) bool {
+	if t.refute(now, m) {
+		return true
+	}
+	s := t.shard(m.Zone)
+	s.mu.Lock()
+	news := s.put(now, m)
+	s.mu.Unlock()
+	if news {
+		t.generation.Add(1)
+		t.enqueue(m)
+	}
+	return news
+}
+
+// refute answers word of this node that is newer than its own record.
+func (t *Table) refute(now time.Time, m Member) bool {
+	t.selfMu.Lock()
+	if m.ID != t.self.ID || !m.Supersedes(t.self) {
+		t.selfMu.Unlock()
+		return false
+	}
+	if m.Incarnation > t.self.Incarnation {
+		t.self.Incarnation = m.Incarnation + 1
+	}
+	t.self.Sequence = max(t.self.Sequence, m.Sequence) + 1
+	self := t.self
+	t.selfMu.Unlock()
+	return t.Merge(now, self)
+}
+
+func (s *shard) put(now time.Time, m Member) bool {
+	old, found := s.members[m.ID]
+	if found && !m.Supersedes(old.member) {
+		return false
+	}
+	if found {
+		s.hash ^= old.member.Hash()
+	}
+	s.hash ^= m.Hash()
+	s.members[m.ID] = &record{member: m, since: now}
+	return true
+}
+
+func (t *Table) shard(zone Zone) *shard {
+	t.zonesMu.RLock()
+	s, ok := t.zones[zone]
+	t.zonesMu.RUnlock()
+	if ok {
+		return s
+	}
+	t.zonesMu.Lock()
+	defer t.zonesMu.Unlock()
+	if s, ok = t.zones[zone]; !ok {
+		s = &shard{members: make(map[NodeID]*record)}
+		t.zones[zone] = s
+	}
+	return s
+}
+
+func (t *Table) enqueue(m Member) {
+	t.queueMu.Lock()
+	defer t.queueMu.Unlock()
+	t.queue = slices.DeleteFunc(t.queue, func(q queued) bool { return q.member.ID == m.ID })
+	t.queue = append(t.queue, queued{member: m, left: t.transmissions()})
+}
+
+func (t *Table) transmissions() int {
+	size := t.size(t.Self().Zone)
+	return _spread * int(math.Ceil(math.Log2(float64(size)+2)))
+}
+
+func (t *Table) size(zone Zone) int {
+	s := t.shard(zone)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.members)
+}
+
+// Updates returns the records to piggyback on one message: this node's own
+// and those passed on least.
+func (t *Table) Updates() []Member {
+	t.queueMu.Lock()
+	defer t.queueMu.Unlock()
+	slices.SortStableFunc(t.queue, func(a, b queued) int { return b.left - a.left })
+	n := min(len(t.queue), _maxUpdates)
+	updates := make([]Member, 0, n)
+	for i := range n {
+		updates = append(updates, t.queue[i].member)
+		t.queue[i].left--
+	}
+	t.queue = slices.DeleteFunc(t.queue, func(q queued) bool { return q.left <= 0 })
+	return updates
+}
+
+// NextProbe returns the member of this zone to probe next, in a random order
+// in which each is probed once a round.
+func (t *Table) NextProbe() (Member, bool) {
+	t.probeMu.Lock()
+	defer t.probeMu.Unlock()
+	self := t.Self()
+	if len(t.order) == 0 {
+		for _, m := range t.Zone(self.Zone) {
+			t.order = append(t.order, m.ID)
+		}
+		t.rnd.Shuffle(len(t.order), func(i, j int) { t.order[i], t.order[j] = t.order[j], t.order[i] })
+	}
+	for len(t.order) > 0 {
+		id := t.order[0]
+		t.order = t.order[1:]
+		m, ok := t.Member(self.Zone, id)
+		if ok && id != self.ID && !m.State.Gone() {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+// Helpers returns up to n members to probe a silent one indirectly.
+func (t *Table) Helpers(target NodeID, n int) []Member {
+	self := t.Self()
+	members := slices.DeleteFunc(t.Zone(self.Zone), func(m Member) bool {
+		return m.ID == self.ID || m.ID == target || m.State.Gone() || m.Suspected
+	})
+	t.probeMu.Lock()
+	t.rnd.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	t.probeMu.Unlock()
+	return members[:min(n, len(members))]
+}
+
+// Unreached records that a member answered neither a direct nor an indirect
+// probe: it becomes suspected.
+func (t *Table) Unreached(now time.Time, id NodeID) {
+	m, ok := t.Member(t.Self().Zone, id)
+	if !ok || m.State.Gone() || m.Suspected {
+		return
+	}
+	m.Suspected = true
+	t.Merge(now, m)
+}
+
+// Tick fails the members of this zone whose suspicion has lasted too long,
+// forgets old tombstones and returns the newly failed.
+func (t *Table) Tick(now time.Time) []Member {
+	self := t.Self()
+	var failed []Member
+	for _, zone := range t.zoneNames() {
+		s := t.shard(zone)
+		s.mu.Lock()
+		for id, r := range s.members {
+			switch {
+			case zone == self.Zone && r.member.Suspected && !r.member.State.Gone() && now.Sub(r.since) >= t.timing.Suspicion:
+				m := r.member
+				m.State = Failed
+				failed = append(failed, m)
+			case r.member.State.Gone() && now.Sub(r.since) >= t.timing.Tombstone:
+				s.hash ^= r.member.Hash()
+				delete(s.members, id)
+				t.generation.Add(1)
+			}
+		}
+		if zone == self.Zone {
+			s.heard = now
+		}
+		s.mu.Unlock()
+	}
+	for _, m := range failed {
+		t.Merge(now, m)
+	}
+	return failed
+}
+
+func (t *Table) zoneNames() []Zone {
+	t.zonesMu.RLock()
+	defer t.zonesMu.RUnlock()
+	names := make([]Zone, 0, len(t.zones))
+	for zone := range t.zones {
+		names = append(names, zone)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Member returns what is known of one member.
+func (t *Table) Member(zone Zone, id NodeID) (Member, bool) {
+	s := t.shard(zone)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.members[id]
+	if !ok {
+		return Member{}, false
+	}
+	return r.member, true
+}
+
+// Zone returns all that is known of a zone, sorted by ID.
+func (t *Table) Zone(zone Zone) []Member {
+	s := t.shard(zone)
+	s.mu.Lock()
+	members := make([]Member, 0, len(s.members))
+	for _, r := range s.members {
+		members = append(members, r.member)
+	}
+	s.mu.Unlock()
+	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return members
+}
+
+// Members returns all known members, sorted by zone and ID.
+func (t *Table) Members() []Member {
+	var members []Member
+	for _, zone := range t.zoneNames() {
+		members = append(members, t.Zone(zone)...)
+	}
+	return members
+}
+
+// Digests sums up each zone.
+func (t *Table) Digests(now time.Time) []ZoneDigest {
+	names := t.zoneNames()
+	digests := make([]ZoneDigest, 0, len(names))
+	for _, zone := range names {
+		s := t.shard(zone)
+		s.mu.Lock()
+		if !s.heard.IsZero() {
+			digests = append(digests, ZoneDigest{Zone: zone, Hash: s.hash, Age: now.Sub(s.heard)})
+		}
+		s.mu.Unlock()
+	}
+	return digests
+}
+
+// Differing takes in another node's digests and returns the records of the
+// zones in which the two differ. A zone is returned at most once each
+// SyncEvery.
+func (t *Table) Differing(now time.Time, digests []ZoneDigest) []Member {
+	theirs := make(map[Zone]ZoneDigest, len(digests))
+	for _, d := range digests {
+		theirs[d.Zone] = d
+	}
+	var members []Member
+	for _, zone := range t.zoneNames() {
+		digest, known := theirs[zone]
+		if t.syncDue(now, zone, digest, known) {
+			members = append(members, t.Zone(zone)...)
+		}
+	}
+	return members
+}
+
+func (t *Table) syncDue(now time.Time, zone Zone, theirs ZoneDigest, known bool) bool {
+	s := t.shard(zone)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if known && theirs.Hash == s.hash {
+		return false
+	}
+	if known && !s.synced.IsZero() && now.Sub(s.synced) < t.timing.SyncEvery {
+		return false
+	}
+	s.synced = now
+	return true
+}
+
+// Heard takes in how old another node's word of each zone is.
+func (t *Table) Heard(now time.Time, digests []ZoneDigest) {
+	for _, d := range digests {
+		s := t.shard(d.Zone)
+		at := now.Add(-d.Age)
+		s.mu.Lock()
+		if at.After(s.heard) {
+			s.heard = at
+		}
+		s.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/revision/committer.go
@@ -0,0 +1,253 @@
+package revision
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
+
+	"lentilferry.example/lentilferry/config"
+	"lentilferry.example/lentilferry/platform"
+)
+
+// HeadKey names the object that carries the current revision.
+var HeadKey = platform.Key{Kind: platform.KindHead, Name: "head"}
+
+// ReadStore is what loading a revision needs of the platform.
+type ReadStore interface {
+	Get(ctx context.Context, key platform.Key) (platform.Object, error)
+}
+
+// Store is what committing a revision needs of the platform.
+type Store interface {
+	ReadStore
+	Create(ctx context.Context, key platform.Key, value []byte) platform.WriteOutcome
+	Update(ctx context.Context, key platform.Key, version uint64, value []byte) platform.WriteOutcome
+}
+
+// ResourceKey names the object that holds a resource.
+func ResourceKey(h Hash) platform.Key {
+	return platform.Key{Kind: platform.KindResource, Name: h.String()}
+}
+
+// Load reads the manifest from the head object and the resources that known
+// lacks from the store, and checks the revision whole. It returns known when
+// that is as new. The error is one of Build's or of the platform's.
+func Load(ctx context.Context, store ReadStore, codec Codec, head platform.Object, known *Snapshot) (*Snapshot, error) {
+	m, err := codec.DecodeManifest(head.Value)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "decode head"), ErrInvalid)
+	}
+	if known != nil && m.Number <= known.Manifest.Number {
+		return known, nil
+	}
+	values := make(map[Hash][]byte, len(m.Entries))
+	for _, e := range m.Entries {
+		value, err := loadValue(ctx, store, e.Hash, known)
+		if err != nil {
+			return nil, err
+		}
+		values[e.Hash] = value
+	}
+	return Build(codec, m, values)
+}
+
+func loadValue(ctx context.Context, store ReadStore, hash Hash, known *Snapshot) ([]byte, error) {
+	if known != nil {
+		if value, ok := known.Values[hash]; ok {
+			return value, nil
+		}
+	}
+	object, err := store.Get(ctx, ResourceKey(hash))
+	if err != nil {
+		return nil, err
+	}
+	return object.Value, nil
+}
+
+// CommitResult tells what became of a commit.
+type CommitResult int
+
+// The results of a commit.
+const (
+	// Committed means that the change is part of the current revision.
+	Committed CommitResult = iota + 1
+	// Unchanged means that the configuration was already as asked.
+	Unchanged
+	// Refused means that nothing was committed.
+	Refused
+	// Unresolved means that the commit may have taken effect and the platform
+	// could not be asked in time.
+	Unresolved
+)
+
+// CommitOutcome is the outcome of a commit.
+type CommitOutcome struct {
+	Result CommitResult
+	// Number is the revision that holds the change; 0 when Refused or Unresolved.
+	Number uint64
+	// Err is nil when Committed or Unchanged.
+	Err error
+}
+
+// Change returns the configuration that is to follow the current one. It is
+// called after the head was read, once for each try.
+type Change func(ctx context.Context, current config.Config) (config.Config, error)
+
+// CommitRequest is one change to commit.
+type CommitRequest struct {
+	// Operation identifies the commit: repeating it changes nothing.
+	Operation string
+	Message   string
+	Change    Change
+	// Always commits a new revision even when the configuration stays as it
+	// is, so that each conditional update begun before it fails.
+	Always bool
+}
+
+// Committer commits revisions by one conditional update of the head object.
+type Committer struct {
+	store  Store
+	codec  Codec
+	holder *Holder
+}
+
+// NewCommitter returns a committer that takes known resources from the holder.
+func NewCommitter(store Store, codec Codec, holder *Holder) *Committer {
+	return &Committer{store: store, codec: codec, holder: holder}
+}
+
+const (
+	// _maxCommitTries bounds the tries of one commit.
+	_maxCommitTries = 12
+	// _firstPause is the pause before the second try.
+	_firstPause = 20 * time.Millisecond
+	// _longestPause bounds the pause between two tries.
+	_longestPause = 2 * time.Second
+)
+
+// Commit applies a change to the current configuration. It tries again on a
+// conflict and reads back after a lost answer until the context ends.
+func (c *Committer) Commit(ctx context.Context, now time.Time, request CommitRequest) CommitOutcome {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = _firstPause
+	pause.MaxInterval = _longestPause
+	unsure := false
+	var last error
+	for range _maxCommitTries {
+		outcome, retry := c.try(ctx, now, request)
+		if !retry {
+			return outcome
+		}
+		unsure = unsure || outcome.Result == Unresolved
+		last = outcome.Err
+		select {
+		case <-time.After(pause.NextBackOff()):
+		case <-ctx.Done():
+			return giveUp(unsure, last)
+		}
+	}
+	return giveUp(unsure, last)
+}
+
+func giveUp(unsure bool, last error) CommitOutcome {
+	if unsure {
+		return CommitOutcome{Result: Unresolved, Err: errors.Wrap(last, "the commit may have taken effect")}
+	}
+	return CommitOutcome{Result: Refused, Err: errors.Wrap(last, "nothing was committed")}
+}
+
+// try makes one try and reports whether another may help. An outcome that
+// needs no other try was decided on a head read after all earlier tries.
+func (c *Committer) try(ctx context.Context, now time.Time, request CommitRequest) (CommitOutcome, bool) {
+	base, version, err := c.readHead(ctx)
+	if err != nil {
+		return CommitOutcome{Result: Refused, Err: err}, errors.Is(err, platform.ErrUnavailable)
+	}
+	var current config.Config
+	if base != nil {
+		if number, ok := base.Manifest.Applied(request.Operation); ok {
+			return CommitOutcome{Result: Committed, Number: number}, false
+		}
+		current = base.Config
+	}
+	wanted, err := request.Change(ctx, current)
+	if err != nil {
+		return CommitOutcome{Result: Refused, Err: err}, errors.Is(err, platform.ErrUnavailable)
+	}
+	next, err := Next(c.codec, base, wanted, request.Operation, request.Message, now)
+	if err != nil {
+		return CommitOutcome{Result: Refused, Err: err}, false
+	}
+	if base != nil && !request.Always && SameEntries(base.Manifest, next.Manifest) {
+		return CommitOutcome{Result: Unchanged, Number: base.Manifest.Number}, false
+	}
+	return c.write(ctx, base, version, next)
+}
+
+func (c *Committer) readHead(ctx context.Context) (*Snapshot, uint64, error) {
+	head, err := c.store.Get(ctx, HeadKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, 0, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	m, err := c.codec.DecodeManifest(head.Value)
+	if err != nil {
+		return nil, 0, errors.Mark(errors.Wrap(err, "decode head"), ErrInvalid)
+	}
+	known := c.holder.Current()
+	if known != nil && known.Manifest.Number > m.Number {
+		return nil, 0, errors.Wrapf(platform.ErrUnavailable, "the head read has number %d, older than %d held here", m.Number, known.Manifest.Number)
+	}
+	base, err := Load(ctx, c.store, c.codec, head, known)
+	return base, head.Version, err
+}
+
+func (c *Committer) write(ctx context.Context, base *Snapshot, version uint64, next *Snapshot) (CommitOutcome, bool) {
+	value, err := c.codec.EncodeManifest(next.Manifest)
+	if err != nil {
+		return CommitOutcome{Result: Refused, Err: err}, false
+	}
+	if len(value) > platform.MaxValueBytes {
+		err = errors.Newf("the manifest has %d bytes, more than %d; remove resources", len(value), platform.MaxValueBytes)
+		return CommitOutcome{Result: Refused, Err: err}, false
+	}
+	if err := c.writeResources(ctx, base, next); err != nil {
+		return CommitOutcome{Result: Refused, Err: err}, errors.Is(err, platform.ErrUnavailable)
+	}
+	var outcome platform.WriteOutcome
+	if base == nil {
+		outcome = c.store.Create(ctx, HeadKey, value)
+	} else {
+		outcome = c.store.Update(ctx, HeadKey, version, value)
+	}
+	switch outcome.Result {
+	case platform.Written:
+		c.holder.Offer(next)
+		return CommitOutcome{Result: Committed, Number: next.Manifest.Number}, false
+	case platform.NotWritten:
+		return CommitOutcome{Result: Refused, Err: outcome.Err}, true
+	default:
+		return CommitOutcome{Result: Unresolved, Err: outcome.Err}, true
+	}
+}
+
+// writeResources creates the objects that the base lacks. A resource that
+// exists already is the same one, since its name is its hash.
+func (c *Committer) writeResources(ctx context.Context, base, next *Snapshot) error {
+	for hash, value := range next.Values {
+		if base != nil && base.Values[hash] != nil {
+			continue
+		}
+		outcome := c.store.Create(ctx, ResourceKey(hash), value)
+		if outcome.Result == platform.Written || errors.Is(outcome.Err, platform.ErrConflict) {
+			continue
+		}
+		return errors.Wrap(outcome.Err, fmt.Sprintf("write resource %s", hash))
+	}
+	return nil
+}
--- /dev/null
+++ b/revision/holder.go
@@ -0,0 +1,116 @@
+package revision
+
+import (
+	"sync"
+	"sync/atomic"
+)
+
+// OfferResult tells what became of an offered snapshot.
+type OfferResult int
+
+// The results of an offer.
+const (
+	// Applied means that the snapshot is now the current one.
+	Applied OfferResult = iota + 1
+	// Stale means that the current snapshot is as new or newer.
+	Stale
+)
+
+// Refusal is a revision that could not be used.
+type Refusal struct {
+	// Number is 0 when nothing was refused since the current revision.
+	Number uint64
+	Reason string
+}
+
+// Holder holds a node's current snapshot. The number of the current snapshot
+// never goes down.
+type Holder struct {
+	current atomic.Pointer[Snapshot]
+
+	mu sync.Mutex
+	// recent holds the manifests before the current one, oldest first.
+	recent  []Manifest
+	refusal Refusal
+	// changed is closed when the current snapshot is replaced.
+	changed chan struct{}
+}
+
+// _recentManifests is how many manifests deltas can start from.
+const _recentManifests = 16
+
+// NewHolder returns a holder without a snapshot.
+func NewHolder() *Holder {
+	return &Holder{changed: make(chan struct{})}
+}
+
+// Current returns the current snapshot, nil before the first one.
+func (h *Holder) Current() *Snapshot {
+	return h.current.Load()
+}
+
+// Number returns the number of the current revision, 0 before the first one.
+func (h *Holder) Number() uint64 {
+	if s := h.Current(); s != nil {
+		return s.Manifest.Number
+	}
+	return 0
+}
+
+// Offer makes the snapshot the current one if its number is higher.
+func (h *Holder) Offer(s *Snapshot) OfferResult {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	old := h.current.Load()
+	if old != nil && old.Manifest.Number >= s.Manifest.Number {
+		return Stale
+	}
+	if old != nil {
+		h.recent = append(h.recent, old.Manifest)
+	}
+	if extra := len(h.recent) - _recentManifests; extra > 0 {
+		h.recent = append([]Manifest(nil), h.recent[extra:]...)
+	}
+	if h.refusal.Number <= s.Manifest.Number {
+		h.refusal = Refusal{}
+	}
+	h.current.Store(s)
+	close(h.changed)
+	h.changed = make(chan struct{})
+	return Applied
+}
+
+// Refuse records a revision that could not be used.
+func (h *Holder) Refuse(number uint64, reason string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if number > h.Number() && number >= h.refusal.Number {
+		h.refusal = Refusal{Number: number, Reason: reason}
+	}
+}
+
+// Refusal returns the newest revision that could not be used.
+func (h *Holder) Refusal() Refusal {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.refusal
+}
+
+// Changed returns a channel that is closed at the next change.
+func (h *Holder) Changed() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.changed
+}
+
+// Recent returns the manifest of a recent revision.
+func (h *Holder) Recent(number uint64) (Manifest, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, m := range h.recent {
+		if m.Number == number {
+			return m, true
+		}
+	}
+	return Manifest{}, false
+}
--- /dev/null
+++ b/revision/revision.go
@@ -0,0 +1,219 @@
+// Package revision keeps configurations as numbered revisions: manifests of
+// content-addressed resources of which only one is current, and whose number
+// only grows.
+package revision
+
+import (
+	"bytes"
+	"cmp"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lentilferry.example/lentilferry/config"
+)
+
+// Hash is the SHA-256 of a resource's stored form.
+type Hash [sha256.Size]byte
+
+// String returns the hash in hexadecimal.
+func (h Hash) String() string {
+	return hex.EncodeToString(h[:])
+}
+
+// HashOf returns the hash of a resource's stored form.
+func HashOf(value []byte) Hash {
+	return sha256.Sum256(value)
+}
+
+// ResourceKind tells the kinds of resources apart.
+type ResourceKind uint32
+
+// The kinds of resources.
+const (
+	KindService ResourceKind = iota + 1
+	KindVersion
+	KindRoute
+	KindPolicy
+)
+
+// String returns the kind's name.
+func (k ResourceKind) String() string {
+	switch k {
+	case KindService:
+		return "service"
+	case KindVersion:
+		return "version"
+	case KindRoute:
+		return "route"
+	case KindPolicy:
+		return "policy"
+	default:
+		return "unknown"
+	}
+}
+
+// EntryKey names a resource within a revision.
+type EntryKey struct {
+	Kind ResourceKind
+	Name string
+}
+
+// Compare orders keys by kind and name.
+func (k EntryKey) Compare(other EntryKey) int {
+	return cmp.Or(cmp.Compare(k.Kind, other.Kind), cmp.Compare(k.Name, other.Name))
+}
+
+// Entry names a resource and its content.
+type Entry struct {
+	Key  EntryKey
+	Hash Hash
+}
+
+// Resource is a resource in its stored form.
+type Resource struct {
+	Key   EntryKey
+	Value []byte
+}
+
+// AppliedOperation tells in which revision an operation took effect.
+type AppliedOperation struct {
+	ID     string
+	Number uint64
+}
+
+// MaxRecentOperations is how many operations a manifest remembers, so that a
+// lost answer to a commit can be resolved by reading back.
+const MaxRecentOperations = 64
+
+// Manifest is one whole revision.
+type Manifest struct {
+	// Number is above zero and only grows.
+	Number uint64
+	// Operation identifies the commit that made the revision.
+	Operation string
+	// RecentOperations holds the newest operations, oldest first.
+	RecentOperations []AppliedOperation
+	Message          string
+	CommittedAt      time.Time
+	// Entries are sorted by key, each key once.
+	Entries []Entry
+}
+
+// Applied returns the revision in which an operation took effect.
+func (m Manifest) Applied(operation string) (uint64, bool) {
+	for _, o := range m.RecentOperations {
+		if o.ID == operation {
+			return o.Number, true
+		}
+	}
+	return 0, false
+}
+
+// Hash returns a hash over the number, the operation and the entries.
+func (m Manifest) Hash() Hash {
+	digest := sha256.New()
+	var number [8]byte
+	binary.BigEndian.PutUint64(number[:], m.Number)
+	digest.Write(number[:])
+	digest.Write([]byte(m.Operation))
+	for _, e := range m.Entries {
+		binary.BigEndian.PutUint64(number[:], uint64(e.Key.Kind))
+		digest.Write(number[:])
+		digest.Write([]byte(e.Key.Name))
+		digest.Write([]byte{0})
+		digest.Write(e.Hash[:])
+	}
+	return Hash(digest.Sum(nil))
+}
+
+// Codec maps configurations and manifests to their stored forms.
+type Codec interface {
+	EncodeConfig(config.Config) ([]Resource, error)
+	DecodeConfig([]Resource) (config.Config, error)
+	EncodeManifest(Manifest) ([]byte, error)
+	DecodeManifest([]byte) (Manifest, error)
+}
+
+// Snapshot is a revision that was checked whole. It is not changed after it
+// was built.
+type Snapshot struct {
+	Manifest Manifest
+	Config   config.Config
+	// Values holds the stored form of each entry's resource.
+	Values map[Hash][]byte
+}
+
+// Errors of a revision that can't be used.
+var (
+	// ErrIncomplete means that a resource is missing or not as its hash says.
+	ErrIncomplete = errors.New("revision is incomplete")
+	// ErrInvalid means that the configuration breaks a rule.
+	ErrInvalid = errors.New("revision is invalid")
+)
+
+// Build checks a revision whole and returns its snapshot. The error is
+// ErrIncomplete or ErrInvalid.
+func Build(codec Codec, m Manifest, values map[Hash][]byte) (*Snapshot, error) {
+	kept := make(map[Hash][]byte, len(m.Entries))
+	resources := make([]Resource, 0, len(m.Entries))
+	for i, e := range m.Entries {
+		if i > 0 && m.Entries[i-1].Key.Compare(e.Key) >= 0 {
+			return nil, errors.Wrapf(ErrInvalid, "entry %s %q is out of order", e.Key.Kind, e.Key.Name)
+		}
+		value, ok := values[e.Hash]
+		if !ok {
+			return nil, errors.Wrapf(ErrIncomplete, "%s %q is missing", e.Key.Kind, e.Key.Name)
+		}
+		if HashOf(value) != e.Hash {
+			return nil, errors.Wrapf(ErrIncomplete, "%s %q does not match its hash", e.Key.Kind, e.Key.Name)
+		}
+		kept[e.Hash] = value
+		resources = append(resources, Resource{Key: e.Key, Value: value})
+	}
+	c, err := codec.DecodeConfig(resources)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "revision %d", m.Number), ErrInvalid)
+	}
+	if faults := config.Check(c); len(faults) > 0 {
+		return nil, errors.Mark(errors.Wrapf(faults, "revision %d", m.Number), ErrInvalid)
+	}
+	return &Snapshot{Manifest: m, Config: c, Values: kept}, nil
+}
+
+// Next returns the snapshot that follows base when its configuration is
+// replaced. The error is ErrInvalid.
+func Next(codec Codec, base *Snapshot, c config.Config, operation, message string, now time.Time) (*Snapshot, error) {
+	resources, err := codec.EncodeConfig(c)
+	if err != nil {
+		return nil, errors.Mark(err, ErrInvalid)
+	}
+	slices.SortFunc(resources, func(a, b Resource) int { return a.Key.Compare(b.Key) })
+	m := Manifest{Number: 1, Operation: operation, Message: message, CommittedAt: now}
+	if base != nil {
+		m.Number = base.Manifest.Number + 1
+		m.RecentOperations = slices.Clone(base.Manifest.RecentOperations)
+	}
+	m.RecentOperations = append(m.RecentOperations, AppliedOperation{ID: operation, Number: m.Number})
+	if extra := len(m.RecentOperations) - MaxRecentOperations; extra > 0 {
+		m.RecentOperations = m.RecentOperations[extra:]
+	}
+	values := make(map[Hash][]byte, len(resources))
+	for _, r := range resources {
+		hash := HashOf(r.Value)
+		values[hash] = r.Value
+		m.Entries = append(m.Entries, Entry{Key: r.Key, Hash: hash})
+	}
+	return Build(codec, m, values)
+}
+
+// SameEntries reports whether two revisions hold the same configuration.
+func SameEntries(a, b Manifest) bool {
+	return slices.EqualFunc(a.Entries, b.Entries, func(x, y Entry) bool {
+		return x.Key == y.Key && bytes.Equal(x.Hash[:], y.Hash[:])
+	})
+}
--- /dev/null
+++ b/rollout/step.go
@@ -0,0 +1,213 @@
+package rollout
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lentilferry.example/lentilferry/config"
+	"lentilferry.example/lentilferry/evidence"
+	"lentilferry.example/lentilferry/membership"
+)
+
+// Inputs are what a controller knows when it decides.
+type Inputs struct {
+	// Epoch is that of the controller's lease.
+	Epoch uint64
+	// InForce is the revision that is in force everywhere.
+	InForce uint64
+	// HeldBackBy names zones or nodes that are behind, for the operator.
+	HeldBackBy string
+	// Verdict is what the evidence says.
+	Verdict evidence.Verdict
+	// StaleZones are the zones whose evidence is not current.
+	StaleZones []membership.Zone
+	// Policy is that of the service.
+	Policy config.Policy
+}
+
+// DecisionKind tells what a controller is to do.
+type DecisionKind int
+
+// The kinds of decisions.
+const (
+	// Wait means that nothing is to be done; Rollout.WaitingFor says why.
+	Wait DecisionKind = iota + 1
+	// Commit means that the shares are to be committed; see Shares and
+	// Committed.
+	Commit
+	// Save means that the rollout was changed and is to be stored.
+	Save
+)
+
+// Decision is what a controller is to do.
+type Decision struct {
+	Kind DecisionKind
+}
+
+// Decide makes the next transition that the inputs allow. The error is
+// ErrEpoch when another controller has taken over.
+func (r *Rollout) Decide(now time.Time, in Inputs) (Decision, error) {
+	if in.Epoch < r.Epoch {
+		return Decision{}, errors.Wrapf(ErrEpoch, "rollout %s was written in epoch %d", r.ID, r.Epoch)
+	}
+	r.Epoch = in.Epoch
+	switch r.State {
+	case Planned:
+		return r.decidePlanned(now)
+	case Running:
+		return r.decideRunning(now, in)
+	case RollingBack:
+		return r.decideRollingBack(now, in)
+	default:
+		return Decision{Kind: Wait}, nil
+	}
+}
+
+func (r *Rollout) decidePlanned(now time.Time) (Decision, error) {
+	if now.Before(r.ExpiresAt) {
+		return Decision{Kind: Wait}, nil
+	}
+	return Decision{Kind: Save}, r.Expire(now)
+}
+
+func (r *Rollout) decideRunning(now time.Time, in Inputs) (Decision, error) {
+	r.count(in.Verdict)
+	if in.Verdict.Bad {
+		return Decision{Kind: Save}, r.Condemn(now, in.Verdict.Reason, r.operation("condemn"))
+	}
+	if r.StageRevision == 0 {
+		return Decision{Kind: Commit}, nil
+	}
+	if in.InForce < r.StageRevision {
+		return r.wait("revision %d to be in force; held back by %s", r.StageRevision, in.HeldBackBy)
+	}
+	if r.StageInForceAt.IsZero() {
+		r.StageInForceAt = now
+		r.StageStartCalls = r.CandidateCalls
+		r.log(now, fmt.Sprintf("%g%% in force everywhere", r.Share().Percent()))
+		return Decision{Kind: Save}, nil
+	}
+	return r.decideInForce(now, in)
+}
+
+func (r *Rollout) decideInForce(now time.Time, in Inputs) (Decision, error) {
+	end := r.StageInForceAt.Add(r.dwell(now, in.Policy))
+	calls := r.CandidateCalls - r.StageStartCalls
+	switch {
+	case now.Before(end):
+		return r.wait("%g%% to be observed until %s", r.Share().Percent(), end.Format(time.TimeOnly))
+	case calls < in.Policy.MinStageCalls:
+		return r.wait("%d calls at %g%%; %d seen", in.Policy.MinStageCalls, r.Share().Percent(), calls)
+	case len(in.StaleZones) > 0:
+		return r.wait("current evidence from %s", joinZones(in.StaleZones))
+	case r.Stage == len(r.Stages)-1:
+		return Decision{Kind: Commit}, nil
+	}
+	r.Stage++
+	r.StageRevision = 0
+	r.StageInForceAt = time.Time{}
+	r.LastOperation = r.operation(fmt.Sprintf("stage-%d", r.Stage))
+	r.WaitingFor = ""
+	r.log(now, fmt.Sprintf("raising the share to %g%%", r.Share().Percent()))
+	return Decision{Kind: Save}, nil
+}
+
+// dwell is the stage's planned time, cut down to the policy's least when the
+// rollout is late.
+func (r *Rollout) dwell(now time.Time, policy config.Policy) time.Duration {
+	planned := r.Stages[r.Stage].Dwell
+	left := time.Duration(len(r.Stages) - r.Stage)
+	pace := r.Deadline.Sub(now)/left - policy.ConvergenceAllowance
+	if pace >= planned {
+		return planned
+	}
+	return max(policy.MinDwell, pace)
+}
+
+func (r *Rollout) decideRollingBack(now time.Time, in Inputs) (Decision, error) {
+	if r.StageRevision == 0 {
+		return Decision{Kind: Commit}, nil
+	}
+	if in.InForce < r.StageRevision {
+		return r.wait("revision %d to be in force; held back by %s", r.StageRevision, in.HeldBackBy)
+	}
+	r.WaitingFor = ""
+	return Decision{Kind: Save}, r.fire(now, _eventRestore, "rolled back everywhere")
+}
+
+func (r *Rollout) wait(format string, args ...any) (Decision, error) {
+	r.WaitingFor = fmt.Sprintf(format, args...)
+	return Decision{Kind: Wait}, nil
+}
+
+func (r *Rollout) count(v evidence.Verdict) {
+	r.CandidateCalls = max(r.CandidateCalls, v.CandidateCalls)
+	r.CandidateFailures = max(r.CandidateFailures, v.CandidateFailures)
+	r.BaselineCalls = max(r.BaselineCalls, v.BaselineCalls)
+}
+
+func (r *Rollout) operation(step string) string {
+	return r.ID + "/" + step
+}
+
+func joinZones(zones []membership.Zone) string {
+	names := make([]string, 0, len(zones))
+	for _, z := range zones {
+		names = append(names, string(z))
+	}
+	return strings.Join(names, ", ")
+}
+
+// CommitOperation identifies the commit that the rollout asks for now.
+func (r *Rollout) CommitOperation() string {
+	switch {
+	case r.State == RollingBack:
+		return r.operation("rollback")
+	case r.StageRevision != 0:
+		return r.operation("finish")
+	default:
+		return r.operation(fmt.Sprintf("commit-%d", r.Stage))
+	}
+}
+
+// ServiceAfterCommit returns the service as the commit that the rollout asks for now is
+// to leave it.
+func (r *Rollout) ServiceAfterCommit(current config.Service) config.Service {
+	switch {
+	case r.State == RollingBack:
+		current.Weights = config.Split(r.Baseline, r.Candidate, 0)
+		current.Rollout = config.RolloutMark{}
+	case r.StageRevision != 0:
+		current.Weights = config.Split(r.Baseline, r.Candidate, r.TargetShare)
+		current.Rollout = config.RolloutMark{}
+	default:
+		current.Weights = config.Split(r.Baseline, r.Candidate, r.Share())
+		current.Rollout = config.RolloutMark{ID: r.ID, Baseline: r.Baseline, Candidate: r.Candidate}
+	}
+	return current
+}
+
+// Committed takes in that the commit took effect in a revision. The error is
+// ErrState.
+func (r *Rollout) Committed(now time.Time, number uint64) error {
+	switch {
+	case r.State == Running && r.StageRevision != 0:
+		r.WaitingFor = ""
+		r.LastOperation = r.operation("finish")
+		late := ""
+		if now.After(r.Deadline) {
+			late = fmt.Sprintf(", %s after the deadline", now.Sub(r.Deadline).Round(time.Second))
+		}
+		r.Reason = fmt.Sprintf("%s has %g%%%s", r.Candidate, r.TargetShare.Percent(), late)
+		return r.fire(now, _eventFinish, r.Reason)
+	case r.State == Running || r.State == RollingBack:
+		r.StageRevision = number
+		r.log(now, fmt.Sprintf("%g%% committed as revision %d", r.Share().Percent(), number))
+		return nil
+	default:
+		return errors.Wrapf(ErrState, "rollout %s is %s", r.ID, r.State)
+	}
+}
--- /dev/null
+++ b/wire/config.go
@@ -0,0 +1,168 @@
+// Package wire maps domain types to their protobuf messages and back.
+package wire
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"lentilferry.example/lentilferry/config"
+	lentilferryv1 "lentilferry.example/lentilferry/gen/lentilferry/v1"
+	"lentilferry.example/lentilferry/revision"
+)
+
+// Codec maps configurations and manifests to their stored forms.
+type Codec struct{}
+
+var _ revision.Codec = Codec{}
+
+var _deterministic = proto.MarshalOptions{Deterministic: true}
+
+// ErrMalformed means that a message lacks what its type needs.
+var ErrMalformed = errors.New("malformed message")
+
+// EncodeConfig returns the stored form of each resource, in no order.
+func (Codec) EncodeConfig(c config.Config) ([]revision.Resource, error) {
+	var resources []revision.Resource
+	var failure error
+	add := func(kind revision.ResourceKind, name string, message *lentilferryv1.Resource) {
+		value, err := _deterministic.Marshal(message)
+		if err != nil {
+			failure = errors.Wrapf(err, "encode %s %q", kind, name)
+			return
+		}
+		resources = append(resources, revision.Resource{Key: revision.EntryKey{Kind: kind, Name: name}, Value: value})
+	}
+	for _, s := range c.Services {
+		add(revision.KindService, string(s.Name), &lentilferryv1.Resource{Resource: &lentilferryv1.Resource_Service{Service: encodeService(s)}})
+	}
+	for _, v := range c.Versions {
+		message := &lentilferryv1.Version{Service: string(v.Service), Name: string(v.Name)}
+		add(revision.KindVersion, string(v.Service)+"/"+string(v.Name), &lentilferryv1.Resource{Resource: &lentilferryv1.Resource_Version{Version: message}})
+	}
+	for _, r := range c.Routes {
+		add(revision.KindRoute, string(r.Name), &lentilferryv1.Resource{Resource: &lentilferryv1.Resource_Route{Route: encodeRoute(r)}})
+	}
+	for _, p := range c.Policies {
+		add(revision.KindPolicy, string(p.Service), &lentilferryv1.Resource{Resource: &lentilferryv1.Resource_Policy{Policy: encodePolicy(p)}})
+	}
+	return resources, failure
+}
+
+func encodeService(s config.Service) *lentilferryv1.Service {
+	message := &lentilferryv1.Service{Name: string(s.Name)}
+	for _, w := range s.Weights {
+		message.Weights = append(message.Weights, &lentilferryv1.Weight{Version: string(w.Version), Share: uint32(w.Share)})
+	}
+	if s.Rollout.ID != "" {
+		message.Rollout = &lentilferryv1.RolloutMark{
+			Id:        s.Rollout.ID,
+			Baseline:  string(s.Rollout.Baseline),
+			Candidate: string(s.Rollout.Candidate),
+		}
+	}
+	return message
+}
+
+func encodeRoute(r config.Route) *lentilferryv1.Route {
+	return &lentilferryv1.Route{
+		Name:         string(r.Name),
+		Service:      string(r.Service),
+		Host:         r.Host,
+		PathPrefix:   r.PathPrefix,
+		Class:        lentilferryv1.Class(r.Class),
+		TimeoutNanos: int64(r.Timeout),
+	}
+}
+
+func encodePolicy(p config.Policy) *lentilferryv1.Policy {
+	message := &lentilferryv1.Policy{
+		Service:                   string(p.Service),
+		MinDwellNanos:             int64(p.MinDwell),
+		MinStageCalls:             p.MinStageCalls,
+		ConvergenceAllowanceNanos: int64(p.ConvergenceAllowance),
+	}
+	for _, s := range p.Stages {
+		message.Stages = append(message.Stages, uint32(s))
+	}
+	return message
+}
+
+// DecodeConfig reads resources back. The error is ErrMalformed.
+func (Codec) DecodeConfig(resources []revision.Resource) (config.Config, error) {
+	var c config.Config
+	for _, r := range resources {
+		var message lentilferryv1.Resource
+		if err := proto.Unmarshal(r.Value, &message); err != nil {
+			return config.Config{}, errors.Mark(errors.Wrapf(err, "%s %q", r.Key.Kind, r.Key.Name), ErrMalformed)
+		}
+		key, ok := addResource(&c, &message)
+		if !ok {
+			return config.Config{}, errors.Wrapf(ErrMalformed, "%s %q is of a kind that this version of the software does not know", r.Key.Kind, r.Key.Name)
+		}
+		if key != r.Key {
+			return config.Config{}, errors.Wrapf(ErrMalformed, "%s %q holds %s %q", r.Key.Kind, r.Key.Name, key.Kind, key.Name)
+		}
+	}
+	return c, nil
+}
+
+func addResource(c *config.Config, message *lentilferryv1.Resource) (revision.EntryKey, bool) {
+	switch r := message.GetResource().(type) {
+	case *lentilferryv1.Resource_Service:
+		c.Services = append(c.Services, decodeService(r.Service))
+		return revision.EntryKey{Kind: revision.KindService, Name: r.Service.GetName()}, true
+	case *lentilferryv1.Resource_Version:
+		v := config.Version{Service: config.ServiceName(r.Version.GetService()), Name: config.VersionName(r.Version.GetName())}
+		c.Versions = append(c.Versions, v)
+		return revision.EntryKey{Kind: revision.KindVersion, Name: string(v.Service) + "/" + string(v.Name)}, true
+	case *lentilferryv1.Resource_Route:
+		c.Routes = append(c.Routes, decodeRoute(r.Route))
+		return revision.EntryKey{Kind: revision.KindRoute, Name: r.Route.GetName()}, true
+	case *lentilferryv1.Resource_Policy:
+		c.Policies = append(c.Policies, decodePolicy(r.Policy))
+		return revision.EntryKey{Kind: revision.KindPolicy, Name: r.Policy.GetService()}, true
+	default:
+		return revision.EntryKey{}, false
+	}
+}
+
+func decodeService(message *lentilferryv1.Service) config.Service {
+	s := config.Service{Name: config.ServiceName(message.GetName())}
+	for _, w := range message.GetWeights() {
+		s.Weights = append(s.Weights, config.Weight{Version: config.VersionName(w.GetVersion()), Share: config.Share(w.GetShare())})
+	}
+	if mark := message.GetRollout(); mark != nil {
+		s.Rollout = config.RolloutMark{
+			ID:        mark.GetId(),
+			Baseline:  config.VersionName(mark.GetBaseline()),
+			Candidate: config.VersionName(mark.GetCandidate()),
+		}
+	}
+	return s
+}
+
+func decodeRoute(message *lentilferryv1.Route) config.Route {
+	return config.Route{
+		Name:       config.RouteName(message.GetName()),
+		Service:    config.ServiceName(message.GetService()),
+		Host:       message.GetHost(),
+		PathPrefix: message.GetPathPrefix(),
+		Class:      config.Class(message.GetClass()),
+		Timeout:    time.Duration(message.GetTimeoutNanos()),
+	}
+}
+
+func decodePolicy(message *lentilferryv1.Policy) config.Policy {
+	p := config.Policy{
+		Service:              config.ServiceName(message.GetService()),
+		MinDwell:             time.Duration(message.GetMinDwellNanos()),
+		MinStageCalls:        message.GetMinStageCalls(),
+		ConvergenceAllowance: time.Duration(message.GetConvergenceAllowanceNanos()),
+	}
+	for _, s := range message.GetStages() {
+		p.Stages = append(p.Stages, config.Share(s))
+	}
+	return p
+}
--- /dev/null
+++ b/wire/member.go
@@ -0,0 +1,105 @@
+package wire
+
+import (
+	"net/netip"
+	"time"
+
+	"lentilferry.example/lentilferry/config"
+	lentilferryv1 "lentilferry.example/lentilferry/gen/lentilferry/v1"
+	"lentilferry.example/lentilferry/membership"
+
+	"github.com/cockroachdb/errors"
+)
+
+// EncodeMember maps a member to its message.
+func EncodeMember(m membership.Member) *lentilferryv1.Member {
+	// An AddrPort always marshals: its error is for the interface only.
+	peer, _ := m.Peer.MarshalBinary()
+	return &lentilferryv1.Member{
+		Id:          string(m.ID),
+		Incarnation: m.Incarnation,
+		Sequence:    m.Sequence,
+		State:       lentilferryv1.MemberState(m.State),
+		Suspected:   m.Suspected,
+		Region:      string(m.Region),
+		Zone:        string(m.Zone),
+		Peer:        peer,
+		Service:     string(m.Service),
+		Version:     string(m.Version),
+		Slots:       uint32(m.Slots),
+		Revision:    m.Revision,
+	}
+}
+
+// DecodeMember reads a member back. The error is ErrMalformed.
+func DecodeMember(message *lentilferryv1.Member) (membership.Member, error) {
+	var peer netip.AddrPort
+	if err := peer.UnmarshalBinary(message.GetPeer()); err != nil {
+		return membership.Member{}, errors.Mark(errors.Wrapf(err, "member %q", message.GetId()), ErrMalformed)
+	}
+	state := membership.State(message.GetState())
+	if message.GetId() == "" || message.GetZone() == "" || state < membership.Starting || state > membership.Failed {
+		return membership.Member{}, errors.Wrapf(ErrMalformed, "member %q of zone %q", message.GetId(), message.GetZone())
+	}
+	return membership.Member{
+		ID:          membership.NodeID(message.GetId()),
+		Incarnation: message.GetIncarnation(),
+		Sequence:    message.GetSequence(),
+		State:       state,
+		Suspected:   message.GetSuspected(),
+		Region:      membership.Region(message.GetRegion()),
+		Zone:        membership.Zone(message.GetZone()),
+		Peer:        peer,
+		Service:     config.ServiceName(message.GetService()),
+		Version:     config.VersionName(message.GetVersion()),
+		Slots:       int(message.GetSlots()),
+		Revision:    message.GetRevision(),
+	}, nil
+}
+
+// EncodeMembers maps members to their messages.
+func EncodeMembers(members []membership.Member) []*lentilferryv1.Member {
+	messages := make([]*lentilferryv1.Member, 0, len(members))
+	for _, m := range members {
+		messages = append(messages, EncodeMember(m))
+	}
+	return messages
+}
+
+// DecodeMembers reads members back and leaves malformed ones out.
+func DecodeMembers(messages []*lentilferryv1.Member) []membership.Member {
+	members := make([]membership.Member, 0, len(messages))
+	for _, message := range messages {
+		m, err := DecodeMember(message)
+		if err == nil {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
+// EncodeDigests maps zone digests to their messages.
+func EncodeDigests(digests []membership.ZoneDigest) []*lentilferryv1.ZoneDigest {
+	messages := make([]*lentilferryv1.ZoneDigest, 0, len(digests))
+	for _, d := range digests {
+		messages = append(messages, &lentilferryv1.ZoneDigest{
+			Zone:      string(d.Zone),
+			Hash:      d.Hash,
+			AgeMillis: uint64(max(0, d.Age.Milliseconds())),
+		})
+	}
+	return messages
+}
+
+// DecodeDigests reads zone digests back.
+func DecodeDigests(messages []*lentilferryv1.ZoneDigest) []membership.ZoneDigest {
+	digests := make([]membership.ZoneDigest, 0, len(messages))
+	for _, message := range messages {
+		digests = append(digests, membership.ZoneDigest{
+			Zone: membership.Zone(message.GetZone()),
+			Hash: message.GetHash(),
+			Age:  time.Duration(message.GetAgeMillis()) * time.Millisecond,
+		})
+	}
+	return digests
+}
