--- a/call/body.go
+++ b/call/body.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -99,6 +100,37 @@
 	return nil
 }
 
+const (
+	// _maxDrainBytes is how much of a request that nobody wants is read; the
+	// server closes the connection of a longer one.
+	_maxDrainBytes = 256 << 10
+	// _drainTimeout bounds that reading.
+	_drainTimeout = time.Second
+)
+
+// streamsIn reports whether a request's body is too long to be read through
+// before its answer begins.
+func streamsIn(r *http.Request) bool {
+	return r.ContentLength < 0 || r.ContentLength > _maxDrainBytes
+}
+
+// drain reads what is left of a request in full duplex. Without it the server
+// may read the connection twice at once when a handler ends before the end of
+// the request's body was seen.
+func drain(w http.ResponseWriter, r *http.Request) {
+	if r.ProtoMajor != 1 {
+		return
+	}
+	controller := http.NewResponseController(w)
+	if controller.SetReadDeadline(time.Now().Add(_drainTimeout)) != nil {
+		return
+	}
+	_, err := io.CopyN(io.Discard, r.Body, _maxDrainBytes)
+	if errors.Is(err, io.EOF) {
+		_ = controller.SetReadDeadline(time.Time{})
+	}
+}
+
 var _buffers = sync.Pool{New: func() any {
 	buffer := make([]byte, 32<<10)
 	return &buffer
--- a/call/dial.go
+++ b/call/dial.go
@@ -20,7 +20,7 @@
 // since a part may have been sent.
 func (c *countedConn) Write(p []byte) (int, error) {
 	c.written.Add(int64(len(p)))
-	return c.Conn.Write(p) //nolint:wrapcheck // The error belongs to the connection.
+	return c.Conn.Write(p)
 }
 
 // tracker follows one try of a call over a connection.
@@ -70,7 +70,7 @@
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
-				return nil, err //nolint:wrapcheck // The transport wraps it.
+				return nil, err
 			}
 			return &countedConn{Conn: conn}, nil
 		},
--- a/call/ingress.go
+++ b/call/ingress.go
@@ -90,8 +90,11 @@
 		body:     newReplayBody(r.Body),
 		version:  target.Version(i.d.Routes.Excluded(target.Service)),
 	}
-	// The answer may begin before the request was read through.
-	_ = http.NewResponseController(w).EnableFullDuplex()
+	if streamsIn(r) {
+		// The answer may begin before the request was read through.
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		defer drain(w, r)
+	}
 	i.d.Budgets.For(now, target.Service.Name).Called(now)
 	c.carry(ctx)
 }
@@ -137,7 +140,7 @@
 func newID() string {
 	var id [16]byte
 	for n := range 2 {
-		word := rand.Uint64() //nolint:gosec // The identity has to be unlike others, not secret.
+		word := rand.Uint64()
 		for k := range 8 {
 			id[8*n+k] = byte(word >> (8 * k))
 		}
--- a/call/owner.go
+++ b/call/owner.go
@@ -142,8 +142,6 @@
 func (o *Owner) run(ctx context.Context, w http.ResponseWriter, r *http.Request, ticket *admission.Ticket, arrived time.Time) {
 	result := admission.Done
 	defer func() { o.d.Gate.Leave(o.d.Now(), ticket, result) }()
-	// The answer may begin before the request was read through.
-	_ = http.NewResponseController(w).EnableFullDuplex()
 	var track tracker
 	response, err := o.d.Transport.RoundTrip(o.upstreamRequest(track.context(ctx), r))
 	if err != nil {
--- /dev/null
+++ b/commands/commands.go
@@ -0,0 +1,256 @@
+// Package commands holds the operators' command line.
+package commands
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/user"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v4"
+	"github.com/peterbourgon/ff/v4/ffhelp"
+
+	"lentilferry.example/lentilferry/gen/lentilferry/v1/lentilferryv1connect"
+)
+
+// The exit codes of the command line.
+const (
+	// ExitDone means that what was asked for is done.
+	ExitDone = 0
+	// ExitFailed means that it failed for a reason of its own.
+	ExitFailed = 1
+	// ExitUsage means that the command or its input is wrong.
+	ExitUsage = 2
+	// ExitRefused means that the system refused, and changed nothing.
+	ExitRefused = 3
+	// ExitUnavailable means that no node or platform answered; nothing changed.
+	ExitUnavailable = 4
+	// ExitUnknown means that the change may have taken effect.
+	ExitUnknown = 5
+	// ExitRolledBack means that the watched rollout did not complete.
+	ExitRolledBack = 6
+)
+
+// Environment is what the command line needs of its surroundings.
+type Environment struct {
+	Stdout io.Writer
+	Stderr io.Writer
+	// Transport carries the requests to nodes.
+	Transport http.RoundTripper
+	Now       func() time.Time
+}
+
+const _requestTimeout = 40 * time.Second
+
+// cli is one run of the command line.
+type cli struct {
+	env      Environment
+	nodes    *string
+	operator *string
+	output   *string
+	timeout  *time.Duration
+}
+
+var (
+	errUsage      = errors.New("usage")
+	errRolledBack = errors.New("the rollout did not complete")
+)
+
+// Run runs the command line and returns its exit code.
+func Run(ctx context.Context, env Environment, args []string) int {
+	root := newRoot(env)
+	err := root.ParseAndRun(ctx, args, ff.WithEnvVarPrefix("LENTILFERRY"))
+	switch {
+	case err == nil:
+		return ExitDone
+	case errors.Is(err, ff.ErrHelp), errors.Is(err, ff.ErrNoExec) && len(args) == 0:
+		_, _ = fmt.Fprint(env.Stdout, ffhelp.Command(selected(root)))
+		return ExitDone
+	}
+	code := exitCode(err)
+	if code != ExitRolledBack {
+		_, _ = fmt.Fprintln(env.Stderr, "lentilferry:", message(err))
+	}
+	if code == ExitUsage {
+		_, _ = fmt.Fprintln(env.Stderr, "Try 'lentilferry --help' or 'lentilferry COMMAND --help'.")
+	}
+	return code
+}
+
+func selected(root *ff.Command) *ff.Command {
+	if command := root.GetSelected(); command != nil {
+		return command
+	}
+	return root
+}
+
+// message returns what an error says, without the code that carried it.
+func message(err error) string {
+	var remote *connect.Error
+	if !errors.As(err, &remote) {
+		return err.Error()
+	}
+	switch remote.Code() {
+	case connect.CodeUnknown:
+		return "the outcome is not known: " + remote.Message() + "\nRun 'lentilferry status' to see whether it took effect, or repeat the command."
+	case connect.CodeUnavailable:
+		return "not reached, nothing was changed: " + remote.Message()
+	case connect.CodeInvalidArgument:
+		return "refused:\n  " + strings.ReplaceAll(remote.Message(), "\n", "\n  ")
+	default:
+		return "refused: " + remote.Message()
+	}
+}
+
+func exitCode(err error) int {
+	var remote *connect.Error
+	switch {
+	case errors.Is(err, errRolledBack):
+		return ExitRolledBack
+	case errors.Is(err, errUsage), errors.Is(err, ff.ErrNoExec), errors.Is(err, ff.ErrUnknownFlag):
+		return ExitUsage
+	case !errors.As(err, &remote):
+		return ExitUsage
+	}
+	switch remote.Code() {
+	case connect.CodeUnavailable:
+		return ExitUnavailable
+	case connect.CodeUnknown, connect.CodeDeadlineExceeded, connect.CodeCanceled:
+		return ExitUnknown
+	case connect.CodeInvalidArgument:
+		return ExitUsage
+	case connect.CodeFailedPrecondition, connect.CodeAborted, connect.CodeNotFound:
+		return ExitRefused
+	default:
+		return ExitFailed
+	}
+}
+
+func newRoot(env Environment) *ff.Command {
+	flags := ff.NewFlagSet("lentilferry")
+	c := &cli{
+		env:      env,
+		nodes:    flags.StringLong("nodes", "127.0.0.1:7903", "admin addresses of nodes to ask, in turn, with commas between"),
+		operator: flags.StringLong("operator", defaultOperator(), "who you are, for the rollout's log"),
+		output:   flags.StringEnumLong("output", "form of the answer: text, json or yaml", "text", "json", "yaml"),
+		timeout:  flags.DurationLong("timeout", _requestTimeout, "longest wait for one answer"),
+	}
+	root := &ff.Command{
+		Name:      "lentilferry",
+		Usage:     "lentilferry [FLAGS] COMMAND",
+		ShortHelp: "plan, confirm and follow the moves of a service mesh",
+		LongHelp: `Speaks to any node. Each setting can come from the environment, as
+LENTILFERRY_NODES.
+
+Exit codes: 0 done; 1 failed; 2 wrong command or input; 3 refused, nothing
+changed; 4 no node or platform answered, nothing changed; 5 the outcome is not
+known; 6 the watched rollout was rolled back, rejected or expired.`,
+		Flags: flags,
+	}
+	root.Subcommands = []*ff.Command{
+		c.planCommand(flags),
+		c.confirmCommand(flags),
+		c.rejectCommand(flags),
+		c.rollbackCommand(flags),
+		c.statusCommand(flags),
+		c.watchCommand(flags),
+		c.configCommand(flags),
+		c.membersCommand(flags),
+		c.versionCommand(flags),
+	}
+	return root
+}
+
+func defaultOperator() string {
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return os.Getenv("USER")
+}
+
+// newOperation returns the identity of one request.
+func newOperation() string {
+	return rand.Text()
+}
+
+// ask sends one request to the first node that answers. A request that may
+// have reached a node is only sent to the next one because it has an identity
+// that makes repeating it harmless.
+func ask[A, B any](
+	ctx context.Context,
+	c *cli,
+	request *A,
+	send func(lentilferryv1connect.OperatorServiceClient, context.Context, *connect.Request[A]) (*connect.Response[B], error),
+) (*B, error) {
+	nodes, err := c.nodeAddresses()
+	if err != nil {
+		return nil, err
+	}
+	var last error
+	for _, address := range nodes {
+		limited, cancel := context.WithTimeout(ctx, *c.timeout)
+		client := lentilferryv1connect.NewOperatorServiceClient(&http.Client{Transport: c.env.Transport}, "http://"+address.String())
+		response, err := send(client, limited, connect.NewRequest(request))
+		cancel()
+		if err == nil {
+			return response.Msg, nil
+		}
+		err = classify(err, address)
+		if code := connect.CodeOf(err); code != connect.CodeUnavailable && code != connect.CodeUnknown {
+			return nil, err
+		}
+		last = worse(last, err)
+	}
+	return nil, last
+}
+
+// classify tells an error that the node itself gave, and one of a request
+// that never left, from one that leaves the outcome open.
+func classify(err error, node netip.AddrPort) error {
+	var dial *net.OpError
+	switch {
+	case connect.IsWireError(err):
+		return err
+	case errors.As(err, &dial) && dial.Op == "dial":
+		return connect.NewError(connect.CodeUnavailable, errors.Newf("no node answers at %s", node))
+	default:
+		return connect.NewError(connect.CodeUnknown, errors.Newf("the node at %s broke off: %s", node, err))
+	}
+}
+
+// worse keeps an error that leaves the outcome open.
+func worse(before, now error) error {
+	if before != nil && connect.CodeOf(before) == connect.CodeUnknown {
+		return before
+	}
+	return now
+}
+
+func (c *cli) nodeAddresses() ([]netip.AddrPort, error) {
+	var all []netip.AddrPort
+	for text := range strings.SplitSeq(*c.nodes, ",") {
+		address, err := netip.ParseAddrPort(strings.TrimSpace(text))
+		if err != nil {
+			return nil, errors.Wrapf(errUsage, "--nodes: %q is not an IP and port; write it as 10.0.0.7:7903", text)
+		}
+		all = append(all, address)
+	}
+	return all, nil
+}
+
+// oneArgument returns the only argument.
+func oneArgument(args []string, name string) (string, error) {
+	if len(args) != 1 {
+		return "", errors.Wrapf(errUsage, "give one %s; %d given", name, len(args))
+	}
+	return args[0], nil
+}
--- /dev/null
+++ b/commands/output.go
@@ -0,0 +1,139 @@
+package commands
+
+import (
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"lentilferry.example/lentilferry/config"
+	lentilferryv1 "lentilferry.example/lentilferry/gen/lentilferry/v1"
+)
+
+// print writes an answer in the form that was asked for.
+func (c *cli) print(answer proto.Message, text func() string) error {
+	if *c.output == "text" {
+		_, err := fmt.Fprint(c.env.Stdout, text())
+		return errors.Wrap(err, "write answer")
+	}
+	document, err := protojson.MarshalOptions{Multiline: true, Indent: "  "}.Marshal(answer)
+	if err != nil {
+		return errors.Wrap(err, "format answer")
+	}
+	if *c.output == "yaml" {
+		if document, err = yaml.JSONToYAML(document); err != nil {
+			return errors.Wrap(err, "format answer")
+		}
+	}
+	_, err = fmt.Fprintln(c.env.Stdout, strings.TrimRight(string(document), "\n"))
+	return errors.Wrap(err, "write answer")
+}
+
+// table writes rows of cells in columns.
+func table(header string, rows [][]string) string {
+	var text strings.Builder
+	w := tabwriter.NewWriter(&text, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, header)
+	for _, row := range rows {
+		_, _ = fmt.Fprintln(w, strings.Join(row, "\t"))
+	}
+	_ = w.Flush()
+	return text.String()
+}
+
+func percent(share uint32) string {
+	return fmt.Sprintf("%g%%", config.Share(share).Percent())
+}
+
+func clock(nanos int64) string {
+	if nanos == 0 {
+		return "-"
+	}
+	return time.Unix(0, nanos).Format(time.RFC3339)
+}
+
+// StateName returns the name of a rollout's state.
+func StateName(s lentilferryv1.RolloutState) string {
+	switch s {
+	case lentilferryv1.RolloutState_ROLLOUT_STATE_PLANNED:
+		return "planned"
+	case lentilferryv1.RolloutState_ROLLOUT_STATE_RUNNING:
+		return "running"
+	case lentilferryv1.RolloutState_ROLLOUT_STATE_ROLLING_BACK:
+		return "rolling back"
+	case lentilferryv1.RolloutState_ROLLOUT_STATE_COMPLETE:
+		return "complete"
+	case lentilferryv1.RolloutState_ROLLOUT_STATE_ROLLED_BACK:
+		return "rolled back"
+	case lentilferryv1.RolloutState_ROLLOUT_STATE_REJECTED:
+		return "rejected"
+	case lentilferryv1.RolloutState_ROLLOUT_STATE_EXPIRED:
+		return "expired"
+	default:
+		return "unknown"
+	}
+}
+
+// PlanText shows a plan as a table of stages.
+func PlanText(r *lentilferryv1.Rollout) string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "Plan %s: %s of %s from %s to %s by %s\n", r.GetId(), percent(r.GetTargetShare()),
+		r.GetService(), r.GetBaseline(), r.GetCandidate(), clock(r.GetDeadlineUnixNanos()))
+	fmt.Fprintf(&text, "Computed from revision %d; can be confirmed until %s\n\n", r.GetBaseRevision(), clock(r.GetExpiresUnixNanos()))
+	rows := make([][]string, 0, len(r.GetStages()))
+	for i, s := range r.GetStages() {
+		rows = append(rows, []string{fmt.Sprint(i + 1), percent(s.GetShare()), time.Duration(s.GetDwellNanos()).Round(time.Millisecond).String()})
+	}
+	text.WriteString(table("STAGE\tSHARE\tOBSERVED FOR", rows))
+	fmt.Fprintf(&text, "\nDone at %s if nothing holds it up.\n\n", clock(r.GetFinishUnixNanos()))
+	rows = nil
+	for _, z := range r.GetCapacity() {
+		rows = append(rows, []string{
+			z.GetZone(),
+			fmt.Sprintf("%d upstreams, %d slots", z.GetBaselineUpstreams(), z.GetBaselineSlots()),
+			fmt.Sprintf("%d upstreams, %d slots", z.GetCandidateUpstreams(), z.GetCandidateSlots()),
+		})
+	}
+	text.WriteString(table("ZONE\tNOW\t"+r.GetCandidate(), rows))
+	return text.String()
+}
+
+// rolloutText shows how a rollout stands.
+func rolloutText(r *lentilferryv1.Rollout) string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "Rollout %s: %s from %s to %s is %s\n", r.GetId(), r.GetService(), r.GetBaseline(), r.GetCandidate(), StateName(r.GetState()))
+	fmt.Fprintf(&text, "  stage %d of %d, share %s, deadline %s\n", r.GetStage()+1, len(r.GetStages()), percent(currentShare(r)), clock(r.GetDeadlineUnixNanos()))
+	fmt.Fprintf(&text, "  calls seen: %s %d (%d failed), %s %d\n", r.GetCandidate(), r.GetCandidateCalls(), r.GetCandidateFailures(), r.GetBaseline(), r.GetBaselineCalls())
+	if r.GetWaitingFor() != "" {
+		fmt.Fprintf(&text, "  waits for %s\n", r.GetWaitingFor())
+	}
+	if r.GetReason() != "" {
+		fmt.Fprintf(&text, "  reason: %s\n", r.GetReason())
+	}
+	for _, e := range r.GetEvents() {
+		fmt.Fprintf(&text, "  %s %s\n", clock(e.GetAtUnixNanos()), e.GetText())
+	}
+	for _, h := range r.GetHistory() {
+		fmt.Fprintf(&text, "  before: %s to %s %s at %s (%s)\n", h.GetId(), h.GetCandidate(), StateName(h.GetState()), clock(h.GetEndedUnixNanos()), h.GetReason())
+	}
+	return text.String()
+}
+
+// currentShare returns the share that the candidate is to have now.
+func currentShare(r *lentilferryv1.Rollout) uint32 {
+	switch r.GetState() {
+	case lentilferryv1.RolloutState_ROLLOUT_STATE_RUNNING:
+		return r.GetStages()[r.GetStage()].GetShare()
+	case lentilferryv1.RolloutState_ROLLOUT_STATE_COMPLETE:
+		return r.GetTargetShare()
+	case lentilferryv1.RolloutState_ROLLOUT_STATE_ROLLING_BACK, lentilferryv1.RolloutState_ROLLOUT_STATE_ROLLED_BACK:
+		return 0
+	default:
+		return r.GetFromShare()
+	}
+}
--- /dev/null
+++ b/commands/state.go
@@ -0,0 +1,226 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v4"
+
+	"lentilferry.example/lentilferry/common"
+	"lentilferry.example/lentilferry/config"
+	lentilferryv1 "lentilferry.example/lentilferry/gen/lentilferry/v1"
+	"lentilferry.example/lentilferry/gen/lentilferry/v1/lentilferryv1connect"
+	"lentilferry.example/lentilferry/membership"
+	"lentilferry.example/lentilferry/wire"
+)
+
+func (c *cli) statusCommand(parent *ff.FlagSet) *ff.Command {
+	flags := ff.NewFlagSet("status").SetParent(parent)
+	service := flags.StringLong("service", "", "only this service's rollout")
+	return &ff.Command{
+		Name:      "status",
+		Usage:     "lentilferry status [--service NAME]",
+		ShortHelp: "say what is in force everywhere and how rollouts stand",
+		LongHelp:  "Example: lentilferry status --service archive-desk",
+		Flags:     flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			answer, err := ask(ctx, c, &lentilferryv1.StatusRequest{Service: *service}, lentilferryv1connect.OperatorServiceClient.Status)
+			if err != nil {
+				return err
+			}
+			return c.print(answer, func() string { return statusText(answer) })
+		},
+	}
+}
+
+func statusText(s *lentilferryv1.StatusResponse) string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "Revision %d is the newest this node has; revision %d is in force everywhere.\n", s.GetRevision(), s.GetInForce())
+	for _, h := range s.GetHeldBack() {
+		fmt.Fprintf(&text, "  held back: %s in %s runs %d\n", h.GetNode(), h.GetZone(), h.GetRevision())
+	}
+	for _, zone := range s.GetLeftOutZones() {
+		fmt.Fprintf(&text, "  zone %s is not heard of and is left out; it takes the newest revision when it is back\n", zone)
+	}
+	if s.GetRefusedRevision() != 0 {
+		fmt.Fprintf(&text, "Revision %d was refused: %s\n", s.GetRefusedRevision(), s.GetRefusedReason())
+	}
+	if s.GetPlatform() != "" {
+		fmt.Fprintf(&text, "The platform can't be read, so rollouts are not shown: %s\n", s.GetPlatform())
+	}
+	if len(s.GetRollouts()) == 0 && s.GetPlatform() == "" {
+		text.WriteString("No rollouts.\n")
+	}
+	for _, r := range s.GetRollouts() {
+		text.WriteString(rolloutText(r))
+	}
+	return text.String()
+}
+
+func (c *cli) membersCommand(parent *ff.FlagSet) *ff.Command {
+	return &ff.Command{
+		Name:      "members",
+		Usage:     "lentilferry members",
+		ShortHelp: "list the nodes and upstreams that a node knows",
+		LongHelp:  "Example: lentilferry members --output json",
+		Flags:     ff.NewFlagSet("members").SetParent(parent),
+		Exec: func(ctx context.Context, _ []string) error {
+			answer, err := ask(ctx, c, &lentilferryv1.MembersRequest{}, lentilferryv1connect.OperatorServiceClient.Members)
+			if err != nil {
+				return err
+			}
+			return c.print(answer, func() string { return membersText(answer) })
+		},
+	}
+}
+
+func membersText(answer *lentilferryv1.MembersResponse) string {
+	ages := make(map[membership.Zone]time.Duration, len(answer.GetZones()))
+	for _, z := range answer.GetZones() {
+		ages[membership.Zone(z.GetZone())] = time.Duration(z.GetAgeMillis()) * time.Millisecond
+	}
+	var rows [][]string
+	for _, m := range wire.DecodeMembers(answer.GetMembers()) {
+		state := m.State.String()
+		if m.Suspected && !m.State.Gone() {
+			state += ", suspected"
+		}
+		rows = append(rows, []string{
+			string(m.Zone), string(m.ID), state, string(m.Service), string(m.Version),
+			fmt.Sprint(m.Slots), fmt.Sprint(m.Revision), m.Peer.String(), ages[m.Zone].Round(100 * time.Millisecond).String(),
+		})
+	}
+	return "As " + answer.GetSelf() + " knows them:\n" +
+		table("ZONE\tNODE\tSTATE\tSERVICE\tVERSION\tSLOTS\tREVISION\tPEER\tWORD IS OLD BY", rows)
+}
+
+func (c *cli) versionCommand(parent *ff.FlagSet) *ff.Command {
+	return &ff.Command{
+		Name:      "version",
+		Usage:     "lentilferry version",
+		ShortHelp: "print this program's version",
+		Flags:     ff.NewFlagSet("version").SetParent(parent),
+		Exec: func(context.Context, []string) error {
+			_, err := fmt.Fprintln(c.env.Stdout, "lentilferry "+common.Version)
+			return errors.Wrap(err, "write version")
+		},
+	}
+}
+
+func (c *cli) configCommand(parent *ff.FlagSet) *ff.Command {
+	flags := ff.NewFlagSet("config").SetParent(parent)
+	return &ff.Command{
+		Name:      "config",
+		Usage:     "lentilferry config validate|diff|apply|get",
+		ShortHelp: "check, compare, apply or read the configuration",
+		Flags:     flags,
+		Subcommands: []*ff.Command{
+			c.validateCommand(flags),
+			c.documentCommand(flags, "diff", "compare a file with the configuration in force", true),
+			c.documentCommand(flags, "apply", "make a file the configuration in force", false),
+			c.getCommand(flags),
+		},
+	}
+}
+
+func (c *cli) validateCommand(parent *ff.FlagSet) *ff.Command {
+	return &ff.Command{
+		Name:      "validate",
+		Usage:     "lentilferry config validate FILE",
+		ShortHelp: "check a file by itself, without asking a node",
+		LongHelp:  "Example: lentilferry config validate mesh.yaml",
+		Flags:     ff.NewFlagSet("validate").SetParent(parent),
+		Exec: func(_ context.Context, args []string) error {
+			document, err := readDocument(args)
+			if err != nil {
+				return err
+			}
+			if _, err := config.ParseYAML(document, config.Config{}); err != nil {
+				return errors.Wrapf(errUsage, "%s is not valid:\n  %s\n", args[0], strings.ReplaceAll(err.Error(), "\n", "\n  "))
+			}
+			_, err = fmt.Fprintf(c.env.Stdout, "%s is valid.\n", args[0])
+			return errors.Wrap(err, "write answer")
+		},
+	}
+}
+
+// documentCommand returns a command that sends a file to a node.
+func (c *cli) documentCommand(parent *ff.FlagSet, name, help string, dryRun bool) *ff.Command {
+	return &ff.Command{
+		Name:      name,
+		Usage:     "lentilferry config " + name + " FILE",
+		ShortHelp: help,
+		LongHelp:  "Example: lentilferry config " + name + " mesh.yaml",
+		Flags:     ff.NewFlagSet(name).SetParent(parent),
+		Exec: func(ctx context.Context, args []string) error {
+			document, err := readDocument(args)
+			if err != nil {
+				return err
+			}
+			request := &lentilferryv1.ApplyConfigRequest{Document: document, Operator: *c.operator, Operation: newOperation(), DryRun: dryRun}
+			answer, err := ask(ctx, c, request, lentilferryv1connect.OperatorServiceClient.ApplyConfig)
+			if err != nil {
+				return err
+			}
+			return c.print(answer, func() string { return appliedText(answer, dryRun) })
+		},
+	}
+}
+
+func appliedText(answer *lentilferryv1.ApplyConfigResponse, dryRun bool) string {
+	var text strings.Builder
+	for _, change := range answer.GetChanges() {
+		fmt.Fprintf(&text, "%s %s %s\n", change.GetChange(), change.GetKind(), change.GetName())
+	}
+	switch {
+	case len(answer.GetChanges()) == 0:
+		fmt.Fprintf(&text, "No difference from revision %d.\n", answer.GetRevision())
+	case dryRun:
+		fmt.Fprintf(&text, "%d differences from revision %d. Nothing was changed.\n", len(answer.GetChanges()), answer.GetRevision())
+	default:
+		fmt.Fprintf(&text, "Accepted as revision %d. Run 'lentilferry status' to see it in force everywhere.\n", answer.GetRevision())
+	}
+	return text.String()
+}
+
+func (c *cli) getCommand(parent *ff.FlagSet) *ff.Command {
+	return &ff.Command{
+		Name:      "get",
+		Usage:     "lentilferry config get",
+		ShortHelp: "print the configuration that a node runs",
+		LongHelp:  "Example: lentilferry config get > mesh.yaml",
+		Flags:     ff.NewFlagSet("get").SetParent(parent),
+		Exec: func(ctx context.Context, _ []string) error {
+			answer, err := ask(ctx, c, &lentilferryv1.GetConfigRequest{}, lentilferryv1connect.OperatorServiceClient.GetConfig)
+			if err != nil {
+				return err
+			}
+			return c.print(answer, func() string {
+				return fmt.Sprintf("# Revision %d\n%s", answer.GetRevision(), answer.GetDocument())
+			})
+		},
+	}
+}
+
+// readDocument reads the file that the only argument names, - for the
+// standard input.
+func readDocument(args []string) ([]byte, error) {
+	name, err := oneArgument(args, "file")
+	if err != nil {
+		return nil, err
+	}
+	if name == "-" {
+		document, err := io.ReadAll(io.LimitReader(os.Stdin, config.MaxDocumentBytes+1))
+		return document, errors.Wrap(err, "read standard input")
+	}
+	document, err := os.ReadFile(name)
+	if err != nil {
+		return nil, errors.Wrapf(errUsage, "can't read the file: %s", err)
+	}
+	return document, nil
+}
--- a/config/config_check.go
+++ b/config/config_check.go
@@ -3,38 +3,13 @@
 import (
 	"fmt"
 	"strings"
-)
-
-// Fault is one thing wrong with a configuration.
-type Fault struct {
-	// Field is the path of the field, such as routes[slips].service.
-	Field string
-	// Problem says what is wrong and how to mend it.
-	Problem string
-}
-
-// Error returns the field and the problem on one line.
-func (f Fault) Error() string {
-	return f.Field + ": " + f.Problem
-}
 
-// Faults is all that is wrong with a configuration.
-type Faults []Fault
-
-var _ error = Faults(nil)
-
-// Error returns the faults, one a line.
-func (f Faults) Error() string {
-	lines := make([]string, 0, len(f))
-	for _, fault := range f {
-		lines = append(lines, fault.Error())
-	}
-	return strings.Join(lines, "\n")
-}
+	"lentilferry.example/lentilferry/common/faults"
+)
 
 // Check returns everything that is wrong with the configuration, nil when it
 // is whole: every reference leads to a resource and every bound holds.
-func Check(c Config) Faults {
+func Check(c Config) faults.List {
 	k := checker{
 		config:   c,
 		services: make(map[ServiceName]bool, len(c.Services)),
@@ -44,18 +19,18 @@
 	k.checkServices()
 	k.checkRoutes()
 	k.checkPolicies()
-	return k.faults
+	return k.found
 }
 
 type checker struct {
 	config   Config
 	services map[ServiceName]bool
 	versions map[Version]bool
-	faults   Faults
+	found    faults.List
 }
 
 func (k *checker) fault(field, format string, args ...any) {
-	k.faults = append(k.faults, Fault{Field: field, Problem: fmt.Sprintf(format, args...)})
+	k.found.Add(field, format, args...)
 }
 
 func (k *checker) name(field, name string) {
--- a/config/config_yaml.go
+++ b/config/config_yaml.go
@@ -10,6 +10,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/goccy/go-yaml"
+
+	"lentilferry.example/lentilferry/common/faults"
 )
 
 // MaxDocumentBytes is the largest configuration document, in bytes.
@@ -57,10 +59,12 @@
 // ParseYAML reads a configuration document. Weights that a service leaves out
 // are taken from current, which is the configuration in force; weights that
 // differ from it are a fault, since only a rollout moves traffic. The error
-// is a Faults when the document can be read but not used.
+// is a faults.List when the document can be read but not used.
 func ParseYAML(document []byte, current Config) (Config, error) {
 	if len(document) > MaxDocumentBytes {
-		return Config{}, Faults{{Field: "document", Problem: fmt.Sprintf("has %d bytes; the most is %d", len(document), MaxDocumentBytes)}}
+		var found faults.List
+		found.Add("document", "has %d bytes; the most is %d", len(document), MaxDocumentBytes)
+		return Config{}, found
 	}
 	var wire yamlConfig
 	decoder := yaml.NewDecoder(bytes.NewReader(document), yaml.Strict())
@@ -69,19 +73,19 @@
 	}
 	p := yamlParser{current: current}
 	c := p.config(wire)
-	if faults := append(p.faults, Check(c)...); len(faults) > 0 {
-		return Config{}, faults
+	if found := append(p.found, Check(c)...); len(found) > 0 {
+		return Config{}, found
 	}
 	return c, nil
 }
 
 type yamlParser struct {
 	current Config
-	faults  Faults
+	found   faults.List
 }
 
 func (p *yamlParser) fault(field, format string, args ...any) {
-	p.faults = append(p.faults, Fault{Field: field, Problem: fmt.Sprintf(format, args...)})
+	p.found.Add(field, format, args...)
 }
 
 func (p *yamlParser) config(wire yamlConfig) Config {
--- /dev/null
+++ b/control/compare.go
@@ -0,0 +1,73 @@
+package control
+
+import (
+	"slices"
+
+	"lentilferry.example/lentilferry/config"
+	"lentilferry.example/lentilferry/revision"
+)
+
+// ChangeKind tells what happens to a resource.
+type ChangeKind string
+
+// The kinds of changes.
+const (
+	Added   ChangeKind = "added"
+	Changed ChangeKind = "changed"
+	Removed ChangeKind = "removed"
+)
+
+// ConfigChange is one difference between two configurations.
+type ConfigChange struct {
+	Key  revision.EntryKey
+	Kind ChangeKind
+}
+
+// Applied is what an applied document changed.
+type Applied struct {
+	// Revision is the one that holds the configuration; with a dry run, the
+	// one that was compared with.
+	Revision uint64
+	Changes  []ConfigChange
+}
+
+// Compare returns the differences between two configurations, sorted.
+func Compare(codec revision.Codec, from, to config.Config) ([]ConfigChange, error) {
+	before, err := hashes(codec, from)
+	if err != nil {
+		return nil, err
+	}
+	after, err := hashes(codec, to)
+	if err != nil {
+		return nil, err
+	}
+	var changes []ConfigChange
+	for key, hash := range after {
+		old, ok := before[key]
+		switch {
+		case !ok:
+			changes = append(changes, ConfigChange{Key: key, Kind: Added})
+		case old != hash:
+			changes = append(changes, ConfigChange{Key: key, Kind: Changed})
+		}
+	}
+	for key := range before {
+		if _, ok := after[key]; !ok {
+			changes = append(changes, ConfigChange{Key: key, Kind: Removed})
+		}
+	}
+	slices.SortFunc(changes, func(a, b ConfigChange) int { return a.Key.Compare(b.Key) })
+	return changes, nil
+}
+
+func hashes(codec revision.Codec, c config.Config) (map[revision.EntryKey]revision.Hash, error) {
+	resources, err := codec.EncodeConfig(c)
+	if err != nil {
+		return nil, err
+	}
+	all := make(map[revision.EntryKey]revision.Hash, len(resources))
+	for _, r := range resources {
+		all[r.Key] = revision.HashOf(r.Value)
+	}
+	return all, nil
+}
--- /dev/null
+++ b/control/controller.go
@@ -0,0 +1,280 @@
+package control
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"lentilferry.example/lentilferry/config"
+	"lentilferry.example/lentilferry/evidence"
+	"lentilferry.example/lentilferry/lease"
+	"lentilferry.example/lentilferry/membership"
+	"lentilferry.example/lentilferry/platform"
+	"lentilferry.example/lentilferry/quarantine"
+	"lentilferry.example/lentilferry/revision"
+	"lentilferry.example/lentilferry/rollout"
+)
+
+// ZoneReports is what a zone's collector said.
+type ZoneReports struct {
+	Zone membership.Zone
+	// Reached is false when no collector of the zone answered.
+	Reached bool
+	Reports []evidence.Report
+}
+
+// Evidence gathers the zones' evidence on a rollout.
+type Evidence interface {
+	Gather(ctx context.Context, rollout string) []ZoneReports
+}
+
+// Fleet tells what is in force.
+type Fleet interface {
+	InForce(now time.Time) membership.InForce
+}
+
+// Quarantines gives the known quarantines.
+type Quarantines interface {
+	All() []quarantine.Quarantine
+}
+
+// ControllerDependencies are what a Controller is built from.
+type ControllerDependencies struct {
+	// Name identifies the candidate for the lease; unique for each start.
+	Name        string
+	Timing      lease.Timing
+	Platform    Platform
+	Committer   *revision.Committer
+	Holder      *revision.Holder
+	Evidence    Evidence
+	Fleet       Fleet
+	Quarantines Quarantines
+	Logger      klog.Logger
+	Now         func() time.Time
+}
+
+// Controller makes the transitions of all rollouts while it holds the lease.
+// It is not safe for concurrent use.
+type Controller struct {
+	d          ControllerDependencies
+	store      store
+	leadership leadership
+	// running holds what is known of each rollout under way.
+	running map[string]*supervision
+	// held is whether the lease was held at the last step.
+	held bool
+}
+
+// supervision is what a controller remembers of a rollout between steps.
+type supervision struct {
+	detector *evidence.Detector
+	// heard is when each zone's collector last answered.
+	heard map[membership.Zone]time.Time
+	// saved is when the rollout was last stored.
+	saved time.Time
+}
+
+const (
+	// _evidenceLifetime is how long a zone's evidence counts as current.
+	_evidenceLifetime = 10 * time.Second
+	// _saveEvery is the least time between two writes of mere progress.
+	_saveEvery = 5 * time.Second
+)
+
+// NewController returns a controller that does not hold the lease.
+func NewController(d ControllerDependencies) *Controller {
+	return &Controller{
+		d:          d,
+		store:      store{platform: d.Platform},
+		leadership: leadership{platform: d.Platform, lease: lease.New(d.Timing, d.Name), now: d.Now},
+		running:    make(map[string]*supervision),
+	}
+}
+
+// Step keeps the lease and, while it is held, lets each rollout take its next
+// transition. An error is for the log: the next step tries again.
+func (c *Controller) Step(ctx context.Context) error {
+	failure := c.leadership.keep(ctx)
+	epoch, held := c.leadership.lease.Held(c.d.Now())
+	if held != c.held {
+		c.held = held
+		c.d.Logger.Info("Controller role changed", "held", held, "epoch", epoch)
+	}
+	if !held {
+		clear(c.running)
+		return failure
+	}
+	all, err := c.store.list(ctx)
+	failure = errors.CombineErrors(failure, err)
+	for _, one := range all {
+		if one.rollout.State.Ended() {
+			delete(c.running, one.rollout.ID)
+			continue
+		}
+		if err := c.advance(ctx, epoch, one); err != nil {
+			failure = errors.CombineErrors(failure, errors.Wrapf(err, "rollout %s", one.rollout.ID))
+		}
+	}
+	return failure
+}
+
+// Holds reports whether the lease is held.
+func (c *Controller) Holds() bool {
+	return c.held
+}
+
+// Stop gives the lease back.
+func (c *Controller) Stop(ctx context.Context) {
+	c.leadership.giveBack(ctx)
+}
+
+// advance lets one rollout take its next transition.
+func (c *Controller) advance(ctx context.Context, epoch uint64, one stored) error {
+	r := one.rollout
+	before := r.WaitingFor
+	s := c.supervise(&r)
+	inputs := c.inputs(ctx, epoch, &r, s)
+	// Gathering takes time: the lease must still be held when it is used.
+	now := c.d.Now()
+	if _, held := c.leadership.lease.Held(now); !held {
+		return errors.Wrap(rollout.ErrEpoch, "the lease has lapsed")
+	}
+	decision, err := r.Decide(now, inputs)
+	if err != nil {
+		return err
+	}
+	switch decision.Kind {
+	case rollout.Commit:
+		return c.commit(ctx, r, one.version, s)
+	case rollout.Save:
+		return c.save(ctx, r, one.version, s)
+	default:
+		if r.WaitingFor == before && now.Sub(s.saved) < _saveEvery || r.State == rollout.Planned {
+			return nil
+		}
+		return c.save(ctx, r, one.version, s)
+	}
+}
+
+func (c *Controller) supervise(r *rollout.Rollout) *supervision {
+	s, ok := c.running[r.ID]
+	if !ok {
+		s = &supervision{
+			detector: evidence.NewDetector(r.Baseline, r.Candidate),
+			heard:    make(map[membership.Zone]time.Time),
+		}
+		c.running[r.ID] = s
+	}
+	return s
+}
+
+func (c *Controller) inputs(ctx context.Context, epoch uint64, r *rollout.Rollout, s *supervision) rollout.Inputs {
+	now := c.d.Now()
+	fleet := c.d.Fleet.InForce(now)
+	in := rollout.Inputs{
+		Epoch:      epoch,
+		InForce:    fleet.Number,
+		HeldBackBy: describe(fleet.HeldBack),
+		Policy:     config.DefaultPolicy(r.Service),
+	}
+	if current := c.d.Holder.Current(); current != nil {
+		in.Policy = current.Config.Policy(r.Service)
+	}
+	if r.State != rollout.Running {
+		return in
+	}
+	for _, z := range c.d.Evidence.Gather(ctx, r.ID) {
+		if z.Reached {
+			s.heard[z.Zone] = c.d.Now()
+			s.detector.Observe(z.Zone, z.Reports)
+		}
+		if c.d.Now().Sub(s.heard[z.Zone]) > _evidenceLifetime && !contains(fleet.LeftOut, z.Zone) {
+			in.StaleZones = append(in.StaleZones, z.Zone)
+		}
+	}
+	in.Verdict = s.detector.Verdict()
+	for _, q := range c.d.Quarantines.All() {
+		if q.Rollout == r.ID && !in.Verdict.Bad {
+			in.Verdict.Bad = true
+			in.Verdict.Reason = "quarantined in zone " + string(q.Zone) + ": " + q.Reason
+		}
+	}
+	return in
+}
+
+func contains(zones []membership.Zone, zone membership.Zone) bool {
+	for _, z := range zones {
+		if z == zone {
+			return true
+		}
+	}
+	return false
+}
+
+// _namedHeldBack is how many members are named as holding a revision back.
+const _namedHeldBack = 3
+
+func describe(held []membership.HeldBack) string {
+	var names []string
+	for _, h := range held[:min(_namedHeldBack, len(held))] {
+		names = append(names, string(h.Zone)+"/"+string(h.ID))
+	}
+	if len(held) > _namedHeldBack {
+		names = append(names, "others")
+	}
+	return strings.Join(names, ", ")
+}
+
+func (c *Controller) save(ctx context.Context, r rollout.Rollout, version uint64, s *supervision) error {
+	saved, err := c.store.save(ctx, r, version)
+	if err != nil {
+		return err
+	}
+	s.saved = c.d.Now()
+	c.d.Logger.Info("Rollout step", "rollout", r.ID, "state", r.State, "stage", r.Stage,
+		"share", r.Share().Percent(), "waitingFor", saved.rollout.WaitingFor, "reason", r.Reason)
+	return nil
+}
+
+// commit makes the rollout's shares a revision and stores that it did. The
+// commit takes effect only while the rollout is stored as it was decided on:
+// the check comes after the head was read, so that any later change of the
+// head makes the commit fail.
+func (c *Controller) commit(ctx context.Context, r rollout.Rollout, version uint64, s *supervision) error {
+	outcome := c.d.Committer.Commit(ctx, c.d.Now(), revision.CommitRequest{
+		Operation: r.CommitOperation(),
+		Message:   "rollout " + r.ID,
+		Always:    r.State == rollout.RollingBack,
+		Change: func(ctx context.Context, current config.Config) (config.Config, error) {
+			return c.changed(ctx, &r, version, current)
+		},
+	})
+	if outcome.Result != revision.Committed && outcome.Result != revision.Unchanged {
+		return outcome.Err
+	}
+	if err := r.Committed(c.d.Now(), outcome.Number); err != nil {
+		return err
+	}
+	return c.save(ctx, r, version, s)
+}
+
+func (c *Controller) changed(ctx context.Context, r *rollout.Rollout, version uint64, current config.Config) (config.Config, error) {
+	last, err := c.store.load(ctx, r.Service)
+	if err != nil {
+		return config.Config{}, err
+	}
+	if last.version != version {
+		return config.Config{}, errors.Wrapf(platform.ErrConflict, "rollout %s was changed by another", r.ID)
+	}
+	service, ok := current.Service(r.Service)
+	if !ok {
+		return config.Config{}, errors.Wrapf(rollout.ErrOutdated, "service %s no longer exists", r.Service)
+	}
+	if service.Rollout.ID != "" && service.Rollout.ID != r.ID {
+		return config.Config{}, errors.Wrapf(rollout.ErrOutdated, "%s is being moved by rollout %s", r.Service, service.Rollout.ID)
+	}
+	return current.WithService(r.ServiceAfterCommit(service)), nil
+}
--- /dev/null
+++ b/control/leadership.go
@@ -0,0 +1,83 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lentilferry.example/lentilferry/lease"
+	"lentilferry.example/lentilferry/platform"
+	"lentilferry.example/lentilferry/wire"
+)
+
+// LeaseKey names the controller's lease.
+var LeaseKey = platform.Key{Kind: platform.KindLease, Name: "controller"}
+
+// leadership keeps a lease on the platform.
+type leadership struct {
+	platform Platform
+	lease    *lease.Lease
+	now      func() time.Time
+}
+
+// keep does what the lease asks for now.
+func (l *leadership) keep(ctx context.Context) error {
+	now := l.now()
+	switch action := l.lease.Next(now); action.Kind {
+	case lease.Read:
+		return l.read(ctx)
+	case lease.Create, lease.Update:
+		return l.write(ctx, now, action)
+	default:
+		return nil
+	}
+}
+
+func (l *leadership) read(ctx context.Context) error {
+	object, err := l.platform.Get(ctx, LeaseKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		l.lease.ObserveAbsent(l.now())
+		return nil
+	}
+	if err != nil {
+		return errors.Wrap(err, "read the controller's lease")
+	}
+	record, err := wire.DecodeLease(object.Value)
+	if err != nil {
+		return err
+	}
+	l.lease.Observe(l.now(), record, object.Version)
+	return nil
+}
+
+func (l *leadership) write(ctx context.Context, sent time.Time, action lease.Action) error {
+	value, err := wire.EncodeLease(action.Record)
+	if err != nil {
+		return err
+	}
+	var outcome platform.WriteOutcome
+	if action.Kind == lease.Create {
+		outcome = l.platform.Create(ctx, LeaseKey, value)
+	} else {
+		outcome = l.platform.Update(ctx, LeaseKey, action.Version, value)
+	}
+	if outcome.Result == platform.Written {
+		l.lease.Written(sent, action.Record, outcome.Version)
+		return nil
+	}
+	l.lease.Failed()
+	if outcome.Result == platform.Unknown {
+		return errors.Wrap(outcome.Err, "write the controller's lease")
+	}
+	return nil
+}
+
+// giveBack frees the lease, so that another controller takes over at once.
+func (l *leadership) giveBack(ctx context.Context) {
+	now := l.now()
+	if action, ok := l.lease.GiveBack(now); ok {
+		// Another controller takes over after the lifetime if this fails.
+		_ = l.write(ctx, now, action)
+	}
+}
--- /dev/null
+++ b/control/operations.go
@@ -0,0 +1,268 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lentilferry.example/lentilferry/config"
+	"lentilferry.example/lentilferry/membership"
+	"lentilferry.example/lentilferry/platform"
+	"lentilferry.example/lentilferry/revision"
+	"lentilferry.example/lentilferry/rollout"
+)
+
+// Members gives the known members.
+type Members interface {
+	Members() []membership.Member
+}
+
+// OperationsDependencies are what Operations are built from.
+type OperationsDependencies struct {
+	Platform  Platform
+	Committer *revision.Committer
+	Codec     revision.Codec
+	Holder    *revision.Holder
+	Members   Members
+	Now       func() time.Time
+}
+
+// Operations carries out what operators ask for. Each operation has an
+// identity: repeating it changes nothing and gives the same answer.
+type Operations struct {
+	d     OperationsDependencies
+	store store
+}
+
+// NewOperations returns operations.
+func NewOperations(d OperationsDependencies) *Operations {
+	return &Operations{d: d, store: store{platform: d.Platform}}
+}
+
+// Word is an operator's word on a rollout.
+type Word struct {
+	ID        string
+	Operator  string
+	Operation string
+}
+
+// _maxTries bounds the tries of an operation that conflicts with others.
+const _maxTries = 5
+
+// head reads the configuration in force from the platform.
+func (o *Operations) head(ctx context.Context) (*revision.Snapshot, error) {
+	object, err := o.d.Platform.Get(ctx, revision.HeadKey)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the head revision")
+	}
+	snapshot, err := revision.Load(ctx, o.d.Platform, o.d.Codec, object, o.d.Holder.Current())
+	return snapshot, errors.Wrap(err, "load the head revision")
+}
+
+// Plan answers an intent with a plan that waits for confirmation. The error
+// is rollout.ErrInfeasible, rollout.ErrState or one of the platform's.
+func (o *Operations) Plan(ctx context.Context, intent rollout.Intent) (rollout.Rollout, error) {
+	for range _maxTries {
+		r, err := o.plan(ctx, intent)
+		if !errors.Is(err, platform.ErrConflict) {
+			return r, err
+		}
+	}
+	return rollout.Rollout{}, errors.Wrapf(platform.ErrConflict, "plan for %s", intent.Service)
+}
+
+func (o *Operations) plan(ctx context.Context, intent rollout.Intent) (rollout.Rollout, error) {
+	now := o.d.Now()
+	last, err := o.store.load(ctx, intent.Service)
+	if err != nil {
+		return rollout.Rollout{}, err
+	}
+	if last.version != 0 && last.rollout.LastOperation == intent.Operation {
+		return last.rollout, nil
+	}
+	if err := replaceable(now, &last); err != nil {
+		return rollout.Rollout{}, err
+	}
+	current, err := o.head(ctx)
+	if err != nil {
+		return rollout.Rollout{}, err
+	}
+	facts := rollout.Facts{Revision: current.Manifest.Number, Config: current.Config}
+	if service, ok := current.Config.Service(intent.Service); ok {
+		facts.Capacity = Capacity(o.d.Members.Members(), service, intent.Version)
+	}
+	r, err := rollout.New(now, newRolloutID(intent.Service), intent, facts)
+	if err != nil {
+		return rollout.Rollout{}, err
+	}
+	if last.version != 0 {
+		r.Follow(last.rollout)
+	}
+	saved, err := o.store.save(ctx, r, last.version)
+	return saved.rollout, err
+}
+
+// replaceable reports why a new plan can't follow the service's last rollout.
+func replaceable(now time.Time, last *stored) error {
+	r := &last.rollout
+	switch {
+	case last.version == 0 || r.State.Ended():
+		return nil
+	case r.State == rollout.Planned && !now.Before(r.ExpiresAt):
+		return r.Expire(now)
+	case r.State == rollout.Planned:
+		return errors.Wrapf(rollout.ErrState, "plan %s by %s waits for confirmation until %s; confirm or reject it first",
+			r.ID, r.Operator, r.ExpiresAt.Format(time.RFC3339))
+	default:
+		return errors.Wrapf(rollout.ErrState, "rollout %s, confirmed by %s, is %s; wait for its end or roll it back", r.ID, r.Operator, r.State)
+	}
+}
+
+func newRolloutID(service config.ServiceName) string {
+	return fmt.Sprintf("%s.%08x", service, rand.Uint32())
+}
+
+// Capacity returns what each zone has of a service's versions: that of the
+// candidate, and of all others together.
+func Capacity(members []membership.Member, service config.Service, candidate config.VersionName) []rollout.ZoneCapacity {
+	var zones []rollout.ZoneCapacity
+	for _, m := range members {
+		if m.Service != service.Name || !m.State.TakesWork() {
+			continue
+		}
+		if len(zones) == 0 || zones[len(zones)-1].Zone != m.Zone {
+			zones = append(zones, rollout.ZoneCapacity{Zone: m.Zone})
+		}
+		z := &zones[len(zones)-1]
+		if m.Version == candidate {
+			z.CandidateUpstreams++
+			z.CandidateSlots += m.Slots
+		} else if service.ShareOf(m.Version) > 0 {
+			z.BaselineUpstreams++
+			z.BaselineSlots += m.Slots
+		}
+	}
+	return zones
+}
+
+// Confirm starts a planned rollout. The error is rollout.ErrState,
+// rollout.ErrOutdated or one of the platform's.
+func (o *Operations) Confirm(ctx context.Context, w Word) (rollout.Rollout, error) {
+	return o.change(ctx, w, func(ctx context.Context, now time.Time, r *rollout.Rollout) error {
+		current, err := o.head(ctx)
+		if err != nil {
+			return err
+		}
+		service, ok := current.Config.Service(r.Service)
+		if !ok {
+			return errors.Wrapf(rollout.ErrOutdated, "service %s no longer exists", r.Service)
+		}
+		return r.Confirm(now, w.Operator, w.Operation, service)
+	})
+}
+
+// Reject ends a planned rollout. The error is as that of Confirm.
+func (o *Operations) Reject(ctx context.Context, w Word) (rollout.Rollout, error) {
+	return o.change(ctx, w, func(_ context.Context, now time.Time, r *rollout.Rollout) error {
+		return r.Reject(now, w.Operator, w.Operation)
+	})
+}
+
+// Rollback begins to take a running rollout back. The error is as that of
+// Confirm.
+func (o *Operations) Rollback(ctx context.Context, w Word) (rollout.Rollout, error) {
+	return o.change(ctx, w, func(_ context.Context, now time.Time, r *rollout.Rollout) error {
+		return r.Condemn(now, "asked for by "+w.Operator, w.Operation)
+	})
+}
+
+type transition func(ctx context.Context, now time.Time, r *rollout.Rollout) error
+
+// change makes one transition of a rollout, and makes it anew when another
+// write came first.
+func (o *Operations) change(ctx context.Context, w Word, make transition) (rollout.Rollout, error) {
+	service := serviceOf(w.ID)
+	for range _maxTries {
+		last, err := o.store.load(ctx, service)
+		if err != nil {
+			return rollout.Rollout{}, err
+		}
+		if last.version == 0 || last.rollout.ID != w.ID {
+			return rollout.Rollout{}, errors.Wrapf(rollout.ErrState, "rollout %q is not the last one of %q; see 'lentilferry status'", w.ID, service)
+		}
+		if last.rollout.LastOperation == w.Operation || last.rollout.ConfirmOperation == w.Operation {
+			return last.rollout, nil
+		}
+		r := last.rollout
+		if err := make(ctx, o.d.Now(), &r); err != nil {
+			return last.rollout, err
+		}
+		saved, err := o.store.save(ctx, r, last.version)
+		if errors.Is(err, platform.ErrConflict) {
+			continue
+		}
+		return saved.rollout, err
+	}
+	return rollout.Rollout{}, errors.Wrapf(platform.ErrConflict, "rollout %s", w.ID)
+}
+
+// Rollouts returns the last rollout of each service.
+func (o *Operations) Rollouts(ctx context.Context) ([]rollout.Rollout, error) {
+	all, err := o.store.list(ctx)
+	rollouts := make([]rollout.Rollout, 0, len(all))
+	for _, one := range all {
+		rollouts = append(rollouts, one.rollout)
+	}
+	return rollouts, err
+}
+
+// Apply makes a configuration document the one in force. It reads the
+// document against the configuration that it replaces, so that shares stay
+// as they are. With dryRun nothing is committed.
+func (o *Operations) Apply(ctx context.Context, document []byte, operator, operation string, dryRun bool) (Applied, error) {
+	if dryRun {
+		return o.check(ctx, document)
+	}
+	var changes []ConfigChange
+	outcome := o.d.Committer.Commit(ctx, o.d.Now(), revision.CommitRequest{
+		Operation: operation,
+		Message:   "configuration applied by " + operator,
+		Change: func(_ context.Context, current config.Config) (config.Config, error) {
+			wanted, err := config.ParseYAML(document, current)
+			if err != nil {
+				return config.Config{}, err
+			}
+			changes, err = Compare(o.d.Codec, current, wanted)
+			return wanted, err
+		},
+	})
+	switch outcome.Result {
+	case revision.Committed, revision.Unchanged:
+		return Applied{Revision: outcome.Number, Changes: changes}, nil
+	case revision.Unresolved:
+		return Applied{}, errors.Mark(outcome.Err, ErrUnresolved)
+	default:
+		return Applied{}, outcome.Err
+	}
+}
+
+func (o *Operations) check(ctx context.Context, document []byte) (Applied, error) {
+	var current config.Config
+	var number uint64
+	snapshot, err := o.head(ctx)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return Applied{}, err
+	}
+	if err == nil {
+		current, number = snapshot.Config, snapshot.Manifest.Number
+	}
+	wanted, err := config.ParseYAML(document, current)
+	if err != nil {
+		return Applied{}, err
+	}
+	changes, err := Compare(o.d.Codec, current, wanted)
+	return Applied{Revision: number, Changes: changes}, err
+}
--- /dev/null
+++ b/control/store.go
@@ -0,0 +1,142 @@
+// Package control runs rollouts on the platform: it stores them, takes
+// operators' words, and lets the holder of a lease make their transitions.
+package control
+
+import (
+	"bytes"
+	"context"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"lentilferry.example/lentilferry/config"
+	"lentilferry.example/lentilferry/platform"
+	"lentilferry.example/lentilferry/rollout"
+	"lentilferry.example/lentilferry/wire"
+)
+
+// Platform is what rollouts and leases need of the platform.
+type Platform interface {
+	Get(ctx context.Context, key platform.Key) (platform.Object, error)
+	List(ctx context.Context, kind platform.Kind) ([]platform.Object, uint64, error)
+	Create(ctx context.Context, key platform.Key, value []byte) platform.WriteOutcome
+	Update(ctx context.Context, key platform.Key, version uint64, value []byte) platform.WriteOutcome
+}
+
+// ErrUnresolved means that a write may have taken effect and the platform
+// could not be asked in time.
+var ErrUnresolved = errors.New("the outcome is not known")
+
+// stored is a rollout as the platform holds it.
+type stored struct {
+	rollout rollout.Rollout
+	// version is 0 when the platform holds none.
+	version uint64
+}
+
+// store keeps each service's last rollout on the platform.
+type store struct {
+	platform Platform
+}
+
+func rolloutKey(service config.ServiceName) platform.Key {
+	return platform.Key{Kind: platform.KindRollout, Name: string(service)}
+}
+
+// serviceOf returns the service that a rollout's ID begins with.
+func serviceOf(id string) config.ServiceName {
+	if dot := strings.LastIndexByte(id, '.'); dot >= 0 {
+		return config.ServiceName(id[:dot])
+	}
+	return config.ServiceName(id)
+}
+
+// load reads a service's last rollout. A service without one gives a stored
+// of version 0.
+func (s store) load(ctx context.Context, service config.ServiceName) (stored, error) {
+	object, err := s.platform.Get(ctx, rolloutKey(service))
+	if errors.Is(err, platform.ErrNotFound) {
+		return stored{}, nil
+	}
+	if err != nil {
+		return stored{}, errors.Wrapf(err, "read the rollout of %s", service)
+	}
+	return decode(object)
+}
+
+func decode(object platform.Object) (stored, error) {
+	r, err := wire.UnmarshalRollout(object.Value)
+	if err != nil {
+		return stored{}, err
+	}
+	return stored{rollout: r, version: object.Version}, nil
+}
+
+// list reads the last rollout of each service. One that can't be read is left
+// out and named in the error; the others are returned all the same.
+func (s store) list(ctx context.Context) ([]stored, error) {
+	objects, _, err := s.platform.List(ctx, platform.KindRollout)
+	if err != nil {
+		return nil, errors.Wrap(err, "list rollouts")
+	}
+	all := make([]stored, 0, len(objects))
+	var failure error
+	for _, object := range objects {
+		one, err := decode(object)
+		if err != nil {
+			failure = errors.CombineErrors(failure, errors.Wrapf(err, "object %s", object.Key))
+			continue
+		}
+		all = append(all, one)
+	}
+	return all, failure
+}
+
+// save stores a rollout over the version that it was read at. A lost answer
+// is resolved by reading back. The error is platform.ErrConflict when another
+// write came first, and ErrUnresolved when the platform could not be asked.
+func (s store) save(ctx context.Context, r rollout.Rollout, version uint64) (stored, error) {
+	value, err := wire.MarshalRollout(r)
+	if err != nil {
+		return stored{}, err
+	}
+	outcome := s.write(ctx, r.Service, version, value)
+	switch outcome.Result {
+	case platform.Written:
+		return stored{rollout: r, version: outcome.Version}, nil
+	case platform.NotWritten:
+		return stored{}, errors.Wrapf(outcome.Err, "store rollout %s", r.ID)
+	default:
+		return s.resolve(ctx, r, version, value)
+	}
+}
+
+func (s store) write(ctx context.Context, service config.ServiceName, version uint64, value []byte) platform.WriteOutcome {
+	if version == 0 {
+		return s.platform.Create(ctx, rolloutKey(service), value)
+	}
+	return s.platform.Update(ctx, rolloutKey(service), version, value)
+}
+
+// _resolveTries bounds the reads that resolve one lost answer.
+const _resolveTries = 3
+
+// resolve finds out whether a write whose answer was lost took effect. While
+// the old version is there it writes again: the condition lets only one of
+// the writes through.
+func (s store) resolve(ctx context.Context, r rollout.Rollout, version uint64, value []byte) (stored, error) {
+	for range _resolveTries {
+		object, err := s.platform.Get(ctx, rolloutKey(r.Service))
+		switch {
+		case errors.Is(err, platform.ErrNotFound) && version == 0, err == nil && object.Version == version:
+			if outcome := s.write(ctx, r.Service, version, value); outcome.Result == platform.Written {
+				return stored{rollout: r, version: outcome.Version}, nil
+			}
+		case err == nil && bytes.Equal(object.Value, value):
+			return stored{rollout: r, version: object.Version}, nil
+		case err == nil:
+			return stored{}, errors.Wrapf(platform.ErrConflict, "store rollout %s", r.ID)
+		}
+	}
+	return stored{}, errors.Wrapf(ErrUnresolved, "store rollout %s", r.ID)
+}
--- a/evidence/collector.go
+++ b/evidence/collector.go
@@ -1,6 +1,8 @@
 package evidence
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,7 +23,7 @@
 // are kept.
 const _reportLifetime = 5 * time.Minute
 
-// Collector merges the reports of a zone. Reports are cumulative, so that a
+// Collector keeps the reports of a zone. Reports are cumulative, so that a
 // repeated or late one counts once. It is safe for concurrent use.
 type Collector struct {
 	mu       sync.Mutex
@@ -72,38 +74,23 @@
 	}
 }
 
-// Summary is what a zone knows of a rollout.
-type Summary struct {
-	// Reporters is the number of nodes that have reported.
-	Reporters int
-	// Tallies holds the sums by key, sorted.
-	Tallies []Tally
-}
-
-// Summary returns the sums of a rollout.
-func (c *Collector) Summary(rollout string) Summary {
+// Reports returns the newest report of each incarnation of each node on a
+// rollout, sorted.
+func (c *Collector) Reports(rollout string) []Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	held, ok := c.rollouts[rollout]
 	if !ok {
-		return Summary{}
-	}
-	sums := make(map[Key]Tally)
-	nodes := make(map[membership.NodeID]bool)
-	for who, report := range held.latest {
-		nodes[who.node] = true
-		for _, t := range report.Tallies {
-			sum := sums[t.Key]
-			sum.Key = t.Key
-			sums[t.Key] = sum.Plus(t)
-		}
+		return nil
 	}
-	summary := Summary{Reporters: len(nodes)}
-	for _, t := range sums {
-		summary.Tallies = append(summary.Tallies, t)
+	reports := make([]Report, 0, len(held.latest))
+	for _, report := range held.latest {
+		reports = append(reports, report)
 	}
-	sortTallies(summary.Tallies)
-	return summary
+	slices.SortFunc(reports, func(a, b Report) int {
+		return cmp.Or(cmp.Compare(a.From, b.From), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	return reports
 }
 
 // Rollouts returns the rollouts with reports.
--- a/evidence/detector.go
+++ b/evidence/detector.go
@@ -41,17 +41,10 @@
 type Detector struct {
 	baseline  config.VersionName
 	candidate config.VersionName
-	// latest holds the newest cumulative tally of each source.
-	latest map[source]Tally
-	// collectors holds who gave a zone's newest tallies.
-	collectors map[membership.Zone]string
-	streams    map[streamKey]*stream
-	verdict    Verdict
-}
-
-type source struct {
-	zone membership.Zone
-	key  Key
+	// latest holds the newest report of each incarnation of each node.
+	latest  map[reporter]Report
+	streams map[streamKey]*stream
+	verdict Verdict
 }
 
 // streamKey names the calls that one test looks at. An empty zone stands for
@@ -71,6 +64,8 @@
 	// candidate and baseline hold all calls so far.
 	candidate Tally
 	baseline  Tally
+	// byNode holds the candidate's calls by upstream.
+	byNode map[membership.NodeID]Tally
 	// slow is the latency above which a call is slow; 0 until it is known.
 	slow time.Duration
 	// baselineSlow counts the baseline's calls tested for slowness.
@@ -80,33 +75,25 @@
 // NewDetector returns a detector that has seen nothing.
 func NewDetector(baseline, candidate config.VersionName) *Detector {
 	return &Detector{
-		baseline:   baseline,
-		candidate:  candidate,
-		latest:     make(map[source]Tally),
-		collectors: make(map[membership.Zone]string),
-		streams:    make(map[streamKey]*stream),
+		baseline:  baseline,
+		candidate: candidate,
+		latest:    make(map[reporter]Report),
+		streams:   make(map[streamKey]*stream),
 	}
 }
 
-// Observe takes in a zone's cumulative tallies. When another collector than
-// before gave them, they only set the start from which calls are counted.
-func (d *Detector) Observe(zone membership.Zone, collector string, tallies []Tally) {
-	known, seen := d.collectors[zone]
-	rebase := seen && known != collector
-	d.collectors[zone] = collector
+// Observe takes in a zone's reports. A report that was seen before, or is
+// older than one seen, counts for nothing.
+func (d *Detector) Observe(zone membership.Zone, reports []Report) {
 	fresh := make(map[streamKey]bool)
-	for _, t := range tallies {
-		from := source{zone: zone, key: t.Key}
-		difference, ok := t.minus(d.latest[from])
-		d.latest[from] = t
-		if rebase || !ok || difference.Calls == 0 {
+	for _, r := range reports {
+		who := reporter{node: r.From, incarnation: r.Incarnation}
+		known, seen := d.latest[who]
+		if seen && known.Sequence >= r.Sequence {
 			continue
 		}
-		for _, key := range []streamKey{{zone: zone, route: t.Key.Route}, {route: t.Key.Route}} {
-			d.stream(key).add(difference, t.Key.Version == d.candidate)
-			fresh[key] = true
-		}
-		d.count(difference)
+		d.latest[who] = r
+		d.take(zone, r, known, fresh)
 	}
 	for key := range fresh {
 		d.streams[key].test()
@@ -114,6 +101,25 @@
 	}
 }
 
+// take adds what a report says beyond the one before it.
+func (d *Detector) take(zone membership.Zone, r, before Report, fresh map[streamKey]bool) {
+	earlier := make(map[Key]Tally, len(before.Tallies))
+	for _, t := range before.Tallies {
+		earlier[t.Key] = t
+	}
+	for _, t := range r.Tallies {
+		difference, ok := t.minus(earlier[t.Key])
+		if !ok || difference.Calls == 0 {
+			continue
+		}
+		for _, key := range []streamKey{{zone: zone, route: t.Key.Route}, {route: t.Key.Route}} {
+			d.stream(key).add(r.From, difference, t.Key.Version == d.candidate)
+			fresh[key] = true
+		}
+		d.count(difference)
+	}
+}
+
 func (d *Detector) count(t Tally) {
 	switch t.Key.Version {
 	case d.candidate:
@@ -127,7 +133,7 @@
 func (d *Detector) stream(key streamKey) *stream {
 	s, ok := d.streams[key]
 	if !ok {
-		s = &stream{}
+		s = &stream{byNode: make(map[membership.NodeID]Tally)}
 		d.streams[key] = s
 	}
 	return s
@@ -145,11 +151,11 @@
 		place += fmt.Sprintf(" in zone %s", key.zone)
 	}
 	switch {
-	case s.failures.evidence() >= threshold:
+	case s.failures.evidence() >= threshold && s.spread(func(t Tally) uint64 { return t.Failures }):
 		d.verdict.Bad = true
 		d.verdict.Reason = fmt.Sprintf("%s fails on %s: %d of %d calls, %s %d of %d",
 			d.candidate, place, s.candidate.Failures, s.candidate.Calls, d.baseline, s.baseline.Failures, s.baseline.Calls)
-	case s.slowness.evidence() >= threshold:
+	case s.slowness.evidence() >= threshold && s.spread(func(t Tally) uint64 { return t.Latency.Above(s.slow) }):
 		d.verdict.Bad = true
 		d.verdict.Reason = fmt.Sprintf("%s is slow on %s: %d of %d calls took over %s, %s %d of %d",
 			d.candidate, place, s.candidate.Latency.Above(s.slow), s.candidate.Calls, s.slow,
@@ -162,16 +168,40 @@
 	return d.verdict
 }
 
-func (s *stream) add(t Tally, candidate bool) {
+func (s *stream) add(node membership.NodeID, t Tally, candidate bool) {
 	if candidate {
 		s.pendingCandidate = s.pendingCandidate.Plus(t)
 		s.candidate = s.candidate.Plus(t)
+		s.byNode[node] = s.byNode[node].Plus(t)
 		return
 	}
 	s.pendingBaseline = s.pendingBaseline.Plus(t)
 	s.baseline = s.baseline.Plus(t)
 }
 
+const (
+	// _spreadFrom is how many of the candidate's upstreams there are when a
+	// fault of one alone is not the version's.
+	_spreadFrom = 3
+	// _spreadCalls is how many bad calls others than the worst must have.
+	_spreadCalls = 2
+)
+
+// spread reports whether the bad calls are the version's: where it has several
+// upstreams, not those of a single one.
+func (s *stream) spread(bad func(Tally) uint64) bool {
+	if len(s.byNode) < _spreadFrom {
+		return true
+	}
+	var total, worst uint64
+	for _, t := range s.byNode {
+		n := bad(t)
+		total += n
+		worst = max(worst, n)
+	}
+	return total-worst >= _spreadCalls
+}
+
 // _aloneAfterCalls is how many of the candidate's calls without any of the
 // baseline's are tested against the baseline's past.
 const _aloneAfterCalls = 20
--- a/evidence/evidence.go
+++ b/evidence/evidence.go
@@ -69,10 +69,13 @@
 var _upperBounds = upperBounds()
 
 func upperBounds() []time.Duration {
-	bars := newHistogram().Distribution()
-	bounds := make([]time.Duration, 0, len(bars))
-	for _, bar := range bars {
-		bounds = append(bounds, time.Duration(bar.To)*LatencyUnit)
+	h := newHistogram()
+	places := len(h.Export().Counts)
+	bounds := make([]time.Duration, 0, places)
+	for value := int64(0); len(bounds) < places; value++ {
+		if !h.ValuesAreEquivalent(value, value+1) {
+			bounds = append(bounds, time.Duration(value)*LatencyUnit)
+		}
 	}
 	return bounds
 }
--- a/membership/table.go
+++ b/membership/table.go
@@ -32,6 +32,9 @@
 const (
 	// _maxUpdates bounds the records piggybacked on one message.
 	_maxUpdates = 12
+	// _failedContactEvery is how many contacts there are for one with a member
+	// that counts as failed.
+	_failedContactEvery = 8
 	// _spread multiplies the logarithm of the zone's size to give how often
 	// a record is passed on.
 	_spread = 3
@@ -53,6 +56,8 @@
 	selfMu sync.Mutex
 	// self is this node's own record, of which it alone raises the sequence.
 	self Member
+	// floor is the highest revision that others say this node has run.
+	floor uint64
 
 	zonesMu sync.RWMutex
 	zones   map[Zone]*shard
@@ -107,6 +112,14 @@
 	return t.self
 }
 
+// Floor returns the highest revision that this node is known to have run,
+// in this life or an earlier one.
+func (t *Table) Floor() uint64 {
+	t.selfMu.Lock()
+	defer t.selfMu.Unlock()
+	return t.floor
+}
+
 // Generation returns a number that changes with any record.
 func (t *Table) Generation() uint64 {
 	return t.generation.Load()
@@ -147,6 +160,9 @@
 // refute answers word of this node that is newer than its own record.
 func (t *Table) refute(now time.Time, m Member) bool {
 	t.selfMu.Lock()
+	if m.ID == t.self.ID {
+		t.floor = max(t.floor, m.Revision)
+	}
 	if m.ID != t.self.ID || !m.Supersedes(t.self) {
 		t.selfMu.Unlock()
 		return false
@@ -247,6 +263,38 @@
 	return Member{}, false
 }
 
+// Contact returns a random member of a zone that has not left: a live one
+// where there is one, and now and then one that counts as failed, so that
+// zones that were cut apart find each other again.
+func (t *Table) Contact(zone Zone) (Member, bool) {
+	self := t.Self()
+	var live, failed []Member
+	for _, m := range t.Zone(zone) {
+		switch {
+		case m.ID == self.ID || m.State == Left:
+		case m.State == Failed:
+			failed = append(failed, m)
+		default:
+			live = append(live, m)
+		}
+	}
+	t.probeMu.Lock()
+	defer t.probeMu.Unlock()
+	if len(live) == 0 || len(failed) > 0 && t.rnd.IntN(_failedContactEvery) == 0 {
+		live = failed
+	}
+	if len(live) == 0 {
+		return Member{}, false
+	}
+	return live[t.rnd.IntN(len(live))], true
+}
+
+// OtherZones returns the known zones but this node's, sorted.
+func (t *Table) OtherZones() []Zone {
+	own := t.Self().Zone
+	return slices.DeleteFunc(t.zoneNames(), func(z Zone) bool { return z == own })
+}
+
 // Helpers returns up to n members to probe a silent one indirectly.
 func (t *Table) Helpers(target NodeID, n int) []Member {
 	self := t.Self()
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,375 @@
+// Package node puts the parts together to one node: the process beside an
+// upstream that carries calls, takes part in membership and distribution, and
+// can hold any control role.
+package node
+
+import (
+	"context"
+	"expvar"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"lentilferry.example/lentilferry/admission"
+	"lentilferry.example/lentilferry/call"
+	"lentilferry.example/lentilferry/common/meter"
+	"lentilferry.example/lentilferry/config"
+	"lentilferry.example/lentilferry/control"
+	"lentilferry.example/lentilferry/distribution"
+	"lentilferry.example/lentilferry/evidence"
+	"lentilferry.example/lentilferry/identity"
+	"lentilferry.example/lentilferry/lease"
+	"lentilferry.example/lentilferry/lifecycle"
+	"lentilferry.example/lentilferry/membership"
+	"lentilferry.example/lentilferry/peer"
+	"lentilferry.example/lentilferry/platform"
+	"lentilferry.example/lentilferry/quarantine"
+	"lentilferry.example/lentilferry/retry"
+	"lentilferry.example/lentilferry/revision"
+	"lentilferry.example/lentilferry/routing"
+	"lentilferry.example/lentilferry/wire"
+)
+
+// Platform is what a node needs of the platform.
+type Platform interface {
+	control.Platform
+	Watch(ctx context.Context, kind platform.Kind, after uint64) (platform.Events, error)
+}
+
+var _ Platform = (*platform.HTTPClient)(nil)
+
+// Upstream describes the node's own upstream.
+type Upstream struct {
+	// Service is empty for a node without an upstream.
+	Service config.ServiceName
+	Version config.VersionName
+	Address netip.AddrPort
+	// HealthPath is asked for with GET; empty for a check by connection.
+	HealthPath string
+	// Slots is how many calls the upstream runs at once.
+	Slots int
+	// Warmup is how long the upstream is cold after it came up.
+	Warmup time.Duration
+}
+
+// Periods are the times between a node's repeated steps.
+type Periods struct {
+	// Gossip is the time between probes.
+	Gossip time.Duration
+	// Zones is the time between a relay's visits to other zones.
+	Zones time.Duration
+	// Evidence is the time between reports while a rollout is under way.
+	Evidence time.Duration
+	// Control is the time between a controller's steps.
+	Control time.Duration
+	// Health is the time between checks of the upstream.
+	Health time.Duration
+	// DrainAtMost bounds the wait for calls in flight at a planned stop.
+	DrainAtMost time.Duration
+	// LeaveOutAfter is how long a zone may be silent before what is in force
+	// is told without it.
+	LeaveOutAfter time.Duration
+}
+
+// DefaultPeriods returns the periods for the target size.
+func DefaultPeriods() Periods {
+	return Periods{
+		Gossip:        time.Second,
+		Zones:         2 * time.Second,
+		Evidence:      time.Second,
+		Control:       time.Second,
+		Health:        time.Second,
+		DrainAtMost:   config.MaxTimeout,
+		LeaveOutAfter: time.Minute,
+	}
+}
+
+// Listeners are the node's open sockets.
+type Listeners struct {
+	// Calls takes calls from callers.
+	Calls net.Listener
+	// Peers takes forwarded calls and control messages from nodes.
+	Peers net.Listener
+	// Admin takes operators' requests, health checks and metrics.
+	Admin net.Listener
+}
+
+// Dependencies are what a Node is built from.
+type Dependencies struct {
+	ID       membership.NodeID
+	Region   membership.Region
+	Zone     membership.Zone
+	Peer     netip.AddrPort
+	Upstream Upstream
+	// Seeds are peers to ask first, beside those that the platform names.
+	Seeds      []netip.AddrPort
+	Periods    Periods
+	Membership membership.Timing
+	Lease      lease.Timing
+	Platform   Platform
+	Listeners  Listeners
+	Logger     klog.Logger
+	Now        func() time.Time
+	// Operator serves operators; built by the caller from the node's parts.
+	Operator func(*Node) (pattern string, handler http.Handler)
+}
+
+// Node is one node of the system.
+type Node struct {
+	d           Dependencies
+	table       *membership.Table
+	holder      *revision.Holder
+	replica     *distribution.Replica
+	committer   *revision.Committer
+	quarantines *quarantine.Set
+	gossip      *peer.Gossip
+	clients     *peer.Clients
+	collector   *evidence.Collector
+	recorder    *evidence.Recorder
+	controller  *control.Controller
+	operations  *control.Operations
+	lifecycle   *lifecycle.Lifecycle
+	gate        *admission.Gate
+	owner       *call.Owner
+	ingress     *call.Ingress
+	pool        *routing.Pool
+	routes      atomic.Pointer[routing.Table]
+	vars        *expvar.Map
+	control     *meter.Meter
+	// reports numbers this node's reports.
+	reports atomic.Uint64
+	// detectors hold the tests of the rollouts that this node collects for.
+	detectors map[string]*evidence.Detector
+
+	rndMu sync.Mutex
+	rnd   *rand.Rand
+
+	drained chan struct{}
+	stop    sync.Once
+}
+
+const (
+	// _identitiesMost bounds the identities that are remembered at once: at
+	// 2,000 commands a second for the longest timeout.
+	_identitiesMost = 240_000
+	// _readHeaderTimeout bounds the reading of a call's headers.
+	_readHeaderTimeout = 10 * time.Second
+	// _callerIdle is how long an unused connection from a caller is kept.
+	_callerIdle = 2 * time.Minute
+	// _maxRequestHeaderBytes bounds a call's headers.
+	_maxRequestHeaderBytes = 64 << 10
+	// _maxStreams bounds the calls of one connection at once.
+	_maxStreams = 1_000
+)
+
+// New returns a node that does not run yet.
+func New(d Dependencies) *Node {
+	now := d.Now()
+	seed := uint64(now.UnixNano())
+	n := &Node{
+		d:           d,
+		holder:      revision.NewHolder(),
+		quarantines: quarantine.New(),
+		collector:   evidence.NewCollector(),
+		recorder:    evidence.NewRecorder(d.Upstream.Version),
+		lifecycle:   lifecycle.New(d.Upstream.Warmup),
+		pool:        routing.NewPool(d.Zone, d.Region),
+		control:     &meter.Meter{},
+		detectors:   make(map[string]*evidence.Detector),
+		rnd:         rand.New(rand.NewPCG(seed, 1)),
+		drained:     make(chan struct{}),
+		vars:        new(expvar.Map),
+	}
+	n.table = membership.New(d.Membership, n.self(now), rand.New(rand.NewPCG(seed, 2)), now)
+	n.replica = distribution.New(wire.Codec{}, n.holder)
+	n.committer = revision.NewCommitter(d.Platform, wire.Codec{}, n.holder)
+	n.buildPeers()
+	n.buildCalls(now)
+	n.buildControl()
+	n.publish()
+	return n
+}
+
+func (n *Node) self(now time.Time) membership.Member {
+	return membership.Member{
+		ID:          n.d.ID,
+		Incarnation: uint64(now.UnixNano()),
+		State:       membership.Starting,
+		Region:      n.d.Region,
+		Zone:        n.d.Zone,
+		Peer:        n.d.Peer,
+		Service:     n.d.Upstream.Service,
+		Version:     n.d.Upstream.Version,
+		Slots:       n.d.Upstream.Slots,
+	}
+}
+
+func (n *Node) buildPeers() {
+	transport := call.NewPeerTransport()
+	transport.DialContext = n.control.Dial(transport.DialContext)
+	n.clients = peer.NewClients(transport)
+	n.gossip = peer.NewGossip(peer.GossipDependencies{
+		Table:       n.table,
+		Holder:      n.holder,
+		Replica:     n.replica,
+		Quarantines: n.quarantines,
+		Clients:     n.clients,
+		Logger:      n.d.Logger,
+		Now:         n.d.Now,
+	})
+}
+
+func (n *Node) buildCalls(now time.Time) {
+	slots := max(1, n.d.Upstream.Slots)
+	n.gate = admission.New(admission.DefaultLimits(slots))
+	n.owner = call.NewOwner(call.OwnerDependencies{
+		Self:      n.table.Self,
+		Upstream:  n.d.Upstream.Address,
+		Transport: call.NewUpstreamTransport(slots),
+		Gate:      n.gate,
+		Record:    identity.New(now, config.MaxTimeout, _identitiesMost),
+		Observer:  n.recorder,
+		Metrics:   call.NewMetrics(n.vars, "owner"),
+		Now:       n.d.Now,
+	})
+	n.ingress = call.NewIngress(call.IngressDependencies{
+		Routes:    n,
+		Endpoints: n.pool,
+		Transport: call.NewPeerTransport(),
+		Budgets:   retry.NewBudgets[config.ServiceName](retry.DefaultLimits()),
+		Metrics:   call.NewMetrics(n.vars, "ingress"),
+		Logger:    n.d.Logger,
+		Now:       n.d.Now,
+	})
+}
+
+func (n *Node) buildControl() {
+	n.operations = control.NewOperations(control.OperationsDependencies{
+		Platform:  n.d.Platform,
+		Committer: n.committer,
+		Codec:     wire.Codec{},
+		Holder:    n.holder,
+		Members:   n.table,
+		Now:       n.d.Now,
+	})
+	n.controller = control.NewController(control.ControllerDependencies{
+		Name:        call.OwnerName(n.table.Self()),
+		Timing:      n.d.Lease,
+		Platform:    n.d.Platform,
+		Committer:   n.committer,
+		Holder:      n.holder,
+		Evidence:    n,
+		Fleet:       n,
+		Quarantines: n.quarantines,
+		Logger:      n.d.Logger,
+		Now:         n.d.Now,
+	})
+}
+
+// Table returns the routes in force, nil while there are none or they may be
+// older than what this node ran before.
+func (n *Node) Table() *routing.Table {
+	return n.routes.Load()
+}
+
+// Excluded returns the version that is quarantined for a service here.
+func (n *Node) Excluded(s config.Service) config.VersionName {
+	return n.quarantines.Excluded(n.d.Zone, s)
+}
+
+// Operations returns what operators can ask for.
+func (n *Node) Operations() *control.Operations {
+	return n.operations
+}
+
+// Holder returns the node's current revision.
+func (n *Node) Holder() *revision.Holder {
+	return n.holder
+}
+
+// Members returns the node's view of the members.
+func (n *Node) Members() *membership.Table {
+	return n.table
+}
+
+// ControlBytes returns the bytes of control messages so far, both ways.
+func (n *Node) ControlBytes() uint64 {
+	return n.control.Total()
+}
+
+// InForce returns what is in force everywhere.
+func (n *Node) InForce(now time.Time) membership.InForce {
+	return membership.ComputeInForce(n.table.Members(), n.table.Digests(now), n.d.Periods.LeaveOutAfter)
+}
+
+// Run runs the node until Stop has ended or the context ends, which stops it
+// at once. The error is that of a server that could not go on.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	servers := n.servers()
+	for _, s := range servers {
+		group.Go(func() error { return serve(s) })
+	}
+	group.Go(func() error { return n.shutdown(ctx, cancel, servers) })
+	n.loops(ctx, group)
+	err := group.Wait()
+	if errors.Is(err, errStopped) {
+		return nil
+	}
+	return err
+}
+
+// errStopped ends the node's group after a planned stop.
+var errStopped = errors.New("the node has stopped")
+
+func (n *Node) loops(ctx context.Context, group *errgroup.Group) {
+	p := n.d.Periods
+	loop := func(period time.Duration, step func(context.Context)) {
+		group.Go(func() error {
+			n.repeat(ctx, period, step)
+			return nil
+		})
+	}
+	group.Go(func() error { n.join(ctx); return nil })
+	loop(p.Gossip, n.gossip.Round)
+	loop(p.Zones, n.visitZones)
+	loop(p.Health, n.checkUpstream)
+	loop(p.Evidence, n.reportEvidence)
+	loop(p.Control, n.controlStep)
+	loop(_refreshEvery, n.refresh)
+	group.Go(func() error { n.watchHead(ctx); return nil })
+}
+
+// repeat runs a step each period until the context ends. The first run comes
+// after a random part of the period, so that nodes that start together do
+// not stay in step.
+func (n *Node) repeat(ctx context.Context, period time.Duration, step func(context.Context)) {
+	timer := time.NewTimer(n.jitter(period))
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		step(ctx)
+		timer.Reset(period/2 + n.jitter(period))
+	}
+}
+
+// jitter returns a random part of the duration.
+func (n *Node) jitter(d time.Duration) time.Duration {
+	n.rndMu.Lock()
+	defer n.rndMu.Unlock()
+	return time.Duration(n.rnd.Int64N(int64(d) + 1))
+}
--- /dev/null
+++ b/node/relay.go
@@ -0,0 +1,209 @@
+package node
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
+
+	"lentilferry.example/lentilferry/membership"
+	"lentilferry.example/lentilferry/platform"
+	"lentilferry.example/lentilferry/revision"
+	"lentilferry.example/lentilferry/wire"
+)
+
+const (
+	// _firstPause is the pause after the first failed call to the platform.
+	_firstPause = 200 * time.Millisecond
+	// _longestPause bounds the pause between calls to the platform.
+	_longestPause = 10 * time.Second
+	// _roleCheck is how often a node looks whether it has become a relay.
+	_roleCheck = time.Second
+	// _rosterEvery is the least time between writes of a zone's roster.
+	_rosterEvery = time.Minute
+	// _rosterSize is how many first contacts a roster names.
+	_rosterSize = 8
+	// _loadTimeout bounds the loading of a revision from the platform.
+	_loadTimeout = 30 * time.Second
+)
+
+// watchHead follows the head object while this node is a relay. Each watch is
+// followed by a read: what a watch says is only a hint that there is news.
+func (n *Node) watchHead(ctx context.Context) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = _firstPause
+	pause.MaxInterval = _longestPause
+	pause.RandomizationFactor = 1
+	var roster rosterKeeper
+	for ctx.Err() == nil {
+		if !n.isRelay() {
+			wait(ctx, _roleCheck)
+			continue
+		}
+		err := n.followHead(ctx, &roster)
+		if err == nil {
+			pause.Reset()
+			continue
+		}
+		if ctx.Err() == nil {
+			n.d.Logger.Info("Platform not reached", "cause", err.Error())
+		}
+		wait(ctx, pause.NextBackOff())
+	}
+}
+
+// followHead reads the head and waits until it may have changed.
+func (n *Node) followHead(ctx context.Context, roster *rosterKeeper) error {
+	seen, err := n.readHead(ctx)
+	if err != nil {
+		return err
+	}
+	if err := n.keepRoster(ctx, roster); err != nil {
+		return err
+	}
+	_, err = n.d.Platform.Watch(ctx, platform.KindHead, seen)
+	if errors.Is(err, platform.ErrCompacted) {
+		return nil
+	}
+	return errors.Wrap(err, "watch head")
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// readHead loads the head revision if it is newer than the one held, and
+// returns the version to watch from. An invalid revision is refused and kept
+// out; it is no reason to pause.
+func (n *Node) readHead(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, _loadTimeout)
+	defer cancel()
+	heads, seen, err := n.d.Platform.List(ctx, platform.KindHead)
+	if err != nil {
+		return 0, errors.Wrap(err, "read head")
+	}
+	if len(heads) == 0 {
+		return seen, nil
+	}
+	snapshot, err := revision.Load(ctx, n.d.Platform, wire.Codec{}, heads[0], n.holder.Current())
+	if errors.Is(err, revision.ErrInvalid) {
+		n.refuse(heads[0], err)
+		return seen, nil
+	}
+	if err != nil {
+		return 0, errors.Wrap(err, "load head")
+	}
+	if n.holder.Offer(snapshot) == revision.Applied {
+		n.d.Logger.Info("Applied revision", "revision", snapshot.Manifest.Number, "peer", "platform")
+	}
+	return seen, nil
+}
+
+func (n *Node) refuse(head platform.Object, cause error) {
+	n.d.Logger.Info("Refused revision", "peer", "platform", "cause", cause.Error())
+	if m, err := (wire.Codec{}).DecodeManifest(head.Value); err == nil {
+		n.holder.Refuse(m.Number, cause.Error())
+	}
+}
+
+// rosterKeeper remembers what was last written to the zone's roster.
+type rosterKeeper struct {
+	written []netip.AddrPort
+	at      time.Time
+}
+
+// keepRoster names some members of the zone on the platform, so that nodes
+// that start find them.
+func (n *Node) keepRoster(ctx context.Context, k *rosterKeeper) error {
+	peers := n.rosterPeers()
+	now := n.d.Now()
+	if slices.Equal(peers, k.written) || now.Sub(k.at) < _rosterEvery {
+		return nil
+	}
+	value, err := wire.EncodeRoster(peers)
+	if err != nil {
+		return err
+	}
+	key := platform.Key{Kind: platform.KindRoster, Name: string(n.d.Zone)}
+	object, err := n.d.Platform.Get(ctx, key)
+	var outcome platform.WriteOutcome
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		outcome = n.d.Platform.Create(ctx, key, value)
+	case err != nil:
+		return errors.Wrap(err, "read roster")
+	default:
+		outcome = n.d.Platform.Update(ctx, key, object.Version, value)
+	}
+	if outcome.Result == platform.Written {
+		k.written, k.at = peers, now
+	}
+	return nil
+}
+
+func (n *Node) rosterPeers() []netip.AddrPort {
+	var peers []netip.AddrPort
+	for _, m := range membership.Chosen(n.table.Zone(n.d.Zone), _roleRelay, _rosterSize) {
+		peers = append(peers, m.Peer)
+	}
+	slices.SortFunc(peers, netip.AddrPort.Compare)
+	return peers
+}
+
+// join makes first contact: with the seeds, and with those that the
+// platform's rosters name, its own zone's first.
+func (n *Node) join(ctx context.Context) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = _firstPause
+	pause.MaxInterval = _longestPause
+	pause.RandomizationFactor = 1
+	for ctx.Err() == nil {
+		if n.contactAny(ctx, append(slices.Clone(n.d.Seeds), n.listRosters(ctx)...)) {
+			return
+		}
+		wait(ctx, pause.NextBackOff())
+	}
+}
+
+// contactAny exchanges state with the peers and reports whether one of
+// another node answered.
+func (n *Node) contactAny(ctx context.Context, peers []netip.AddrPort) bool {
+	reached := false
+	for _, address := range peers {
+		if address == n.d.Peer {
+			continue
+		}
+		if err := n.gossip.Exchange(ctx, "", address); err == nil {
+			reached = true
+		}
+	}
+	return reached
+}
+
+func (n *Node) listRosters(ctx context.Context) []netip.AddrPort {
+	objects, _, err := n.d.Platform.List(ctx, platform.KindRoster)
+	if err != nil {
+		return nil
+	}
+	var own, other []netip.AddrPort
+	for _, object := range objects {
+		peers, err := wire.DecodeRoster(object.Value)
+		switch {
+		case err != nil:
+			n.d.Logger.Info("Roster not read", "zone", object.Key.Name, "cause", err.Error())
+		case object.Key.Name == string(n.d.Zone):
+			own = append(own, peers...)
+		default:
+			other = append(other, peers...)
+		}
+	}
+	return append(own, other...)
+}
--- /dev/null
+++ b/node/servers.go
@@ -0,0 +1,179 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lentilferry.example/lentilferry/call"
+	"lentilferry.example/lentilferry/common/meter"
+	"lentilferry.example/lentilferry/gen/lentilferry/v1/lentilferryv1connect"
+	"lentilferry.example/lentilferry/membership"
+	"lentilferry.example/lentilferry/peer"
+)
+
+// listening is a server and its socket.
+type listening struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+func (n *Node) servers() []listening {
+	calls := n.server(n.ingress)
+	calls.Protocols.SetHTTP1(true)
+	peers := n.server(n.peerHandler())
+	peers.ConnContext = meter.ConnContext
+	admin := n.server(n.adminHandler())
+	admin.Protocols.SetHTTP1(true)
+	return []listening{
+		{server: calls, listener: n.d.Listeners.Calls},
+		{server: peers, listener: meter.Listener{Listener: n.d.Listeners.Peers}},
+		{server: admin, listener: n.d.Listeners.Admin},
+	}
+}
+
+// server returns a server for HTTP/2 without TLS.
+func (n *Node) server(handler http.Handler) *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           handler,
+		Protocols:         protocols,
+		ReadHeaderTimeout: _readHeaderTimeout,
+		IdleTimeout:       _callerIdle,
+		MaxHeaderBytes:    _maxRequestHeaderBytes,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: _maxStreams},
+	}
+}
+
+func serve(l listening) error {
+	err := l.server.Serve(l.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrapf(err, "serve %s", l.listener.Addr())
+}
+
+// peerHandler splits what peers send between control messages and calls.
+func (n *Node) peerHandler() http.Handler {
+	path, control := lentilferryv1connect.NewPeerServiceHandler(
+		peer.NewServer(n.gossip, n.collector), peer.HandlerOptions()...)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case call.IsForwarded(r):
+			n.owner.ServeHTTP(w, r)
+		case strings.HasPrefix(r.URL.Path, path):
+			meter.AssignFrom(r.Context(), n.control)
+			control.ServeHTTP(w, r)
+		default:
+			http.Error(w, "this address serves nodes only", http.StatusNotFound)
+		}
+	})
+}
+
+func (n *Node) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	mux.HandleFunc("GET /readyz", n.serveReady)
+	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		_, _ = w.Write([]byte("{\"lentilferry\": " + n.vars.String() + "}\n"))
+	})
+	if n.d.Operator != nil {
+		mux.Handle(n.d.Operator(n))
+	}
+	return mux
+}
+
+// serveReady says whether the node carries calls.
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	state := n.lifecycle.State()
+	if n.Table() == nil || state == membership.Draining || state == membership.Left {
+		http.Error(w, "not ready: "+state.String(), http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready: " + state.String() + "\n"))
+}
+
+// Stop drains the node and ends Run: new work is refused as not run, calls in
+// flight are finished, and peers are told.
+func (n *Node) Stop() {
+	n.stop.Do(func() { close(n.drained) })
+}
+
+const (
+	// _farewells is how many peers are told at once that this node leaves.
+	_farewells = 6
+	// _closeTimeout bounds the closing of the servers after the drain.
+	_closeTimeout = 5 * time.Second
+	// _leaveNotice is how long the ingress goes on while callers and peers
+	// learn that the node leaves.
+	_leaveNotice = 500 * time.Millisecond
+)
+
+// shutdown waits for a planned stop or the end of the context.
+func (n *Node) shutdown(ctx context.Context, cancel context.CancelFunc, servers []listening) error {
+	select {
+	case <-n.drained:
+	case <-ctx.Done():
+		for _, s := range servers {
+			_ = s.server.Close()
+		}
+		return nil
+	}
+	n.drain(ctx)
+	cancel()
+	// The node's own context is over; the servers get a little time.
+	last, done := context.WithTimeout(context.WithoutCancel(ctx), _closeTimeout)
+	defer done()
+	for _, s := range servers {
+		_ = s.server.Shutdown(last)
+		_ = s.server.Close()
+	}
+	return errStopped
+}
+
+// drain leaves in order: peers are told, new work is refused as not run, and
+// what is in flight is finished.
+func (n *Node) drain(ctx context.Context) {
+	n.d.Logger.Info("Draining", "node", n.d.ID)
+	n.lifecycle.Drain()
+	n.announce(membership.Draining)
+	n.gate.Drain()
+	n.farewell(ctx)
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		time.Sleep(_leaveNotice)
+		n.owner.Wait()
+		n.ingress.Wait()
+	}()
+	select {
+	case <-finished:
+	case <-time.After(n.d.Periods.DrainAtMost):
+		n.d.Logger.Info("Drain ran out of time", "node", n.d.ID)
+	}
+	n.controller.Stop(ctx)
+	n.lifecycle.Leave()
+	n.announce(membership.Left)
+	n.farewell(ctx)
+	n.d.Logger.Info("Left", "node", n.d.ID)
+}
+
+func (n *Node) announce(state membership.State) {
+	n.table.Announce(n.d.Now(), func(m *membership.Member) { m.State = state })
+}
+
+// farewell tells some peers at once.
+func (n *Node) farewell(ctx context.Context) {
+	for _, m := range n.table.Helpers(n.d.ID, _farewells) {
+		// Gossip passes it on if a peer can't be told.
+		_ = n.gossip.Exchange(ctx, m.ID, m.Peer)
+	}
+}
--- /dev/null
+++ b/node/steps.go
@@ -0,0 +1,259 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	"lentilferry.example/lentilferry/config"
+	"lentilferry.example/lentilferry/control"
+	"lentilferry.example/lentilferry/evidence"
+	lentilferryv1 "lentilferry.example/lentilferry/gen/lentilferry/v1"
+	"lentilferry.example/lentilferry/lifecycle"
+	"lentilferry.example/lentilferry/membership"
+	"lentilferry.example/lentilferry/quarantine"
+	"lentilferry.example/lentilferry/routing"
+	"lentilferry.example/lentilferry/wire"
+)
+
+const (
+	// _refreshEvery is the time between updates of what calls are routed by.
+	_refreshEvery = 50 * time.Millisecond
+	// _relays is how many nodes of a zone read from the platform.
+	_relays = 2
+	// _evidenceTimeout bounds a report and the reading of a zone's evidence.
+	_evidenceTimeout = time.Second
+	// _healthTimeout bounds a check of the upstream.
+	_healthTimeout = time.Second
+)
+
+// The roles that are chosen by rendezvous hashing.
+const (
+	_roleRelay     = "relay"
+	_roleCollector = "collector"
+)
+
+func (n *Node) isRelay() bool {
+	return membership.IsChosen(n.table.Zone(n.d.Zone), _roleRelay, _relays, n.d.ID)
+}
+
+func (n *Node) collectorOf(zone membership.Zone) (membership.Member, bool) {
+	chosen := membership.Chosen(n.table.Zone(zone), _roleCollector, 1)
+	if len(chosen) == 0 {
+		return membership.Member{}, false
+	}
+	return chosen[0], true
+}
+
+// visitZones lets a relay exchange state with a member of each other zone.
+func (n *Node) visitZones(ctx context.Context) {
+	if !n.isRelay() {
+		return
+	}
+	for _, zone := range n.table.OtherZones() {
+		n.gossip.Visit(ctx, zone)
+	}
+}
+
+// refresh brings routes, upstreams, evidence and this node's record up to
+// date with the revision in force and the members.
+func (n *Node) refresh(context.Context) {
+	now := n.d.Now()
+	current := n.holder.Current()
+	if current == nil || current.Manifest.Number < n.table.Floor() {
+		return
+	}
+	if n.table.Self().Revision != current.Manifest.Number || n.routes.Load() == nil {
+		n.rndMu.Lock()
+		n.routes.Store(routing.NewTable(current.Config, n.routes.Load(), n.rnd))
+		n.rndMu.Unlock()
+		n.quarantines.Prune(current.Config.Services)
+		n.followRollout(current.Config)
+		n.table.Announce(now, func(m *membership.Member) { m.Revision = current.Manifest.Number })
+		n.d.Logger.Info("Revision in force", "revision", current.Manifest.Number)
+	}
+	n.pool.Update(n.table.Members())
+	n.gate.Expire(now)
+}
+
+// followRollout counts evidence while the upstream's service is being moved.
+func (n *Node) followRollout(c config.Config) {
+	service, _ := c.Service(n.d.Upstream.Service)
+	n.recorder.SetRollout(service.Rollout.ID)
+}
+
+// checkUpstream checks the upstream's health and announces what follows.
+func (n *Node) checkUpstream(ctx context.Context) {
+	healthy := n.d.Upstream.Service == "" || n.probeUpstream(ctx) == nil
+	before := n.lifecycle.State()
+	state := n.lifecycle.Tick(n.d.Now(), lifecycle.Check{
+		Configured: n.Table() != nil,
+		Healthy:    healthy,
+	})
+	if state == before && n.table.Self().State == state {
+		return
+	}
+	n.d.Logger.Info("Upstream state changed", "from", before, "to", state, "healthy", healthy)
+	n.announce(state)
+}
+
+func (n *Node) probeUpstream(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, _healthTimeout)
+	defer cancel()
+	address := n.d.Upstream.Address.String()
+	if n.d.Upstream.HealthPath == "" {
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		if err != nil {
+			return errors.Wrap(err, "connect to upstream")
+		}
+		return conn.Close()
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+n.d.Upstream.HealthPath, nil)
+	if err != nil {
+		return errors.Wrap(err, "build health check")
+	}
+	request.Close = true
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return errors.Wrap(err, "check upstream")
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return errors.Newf("check upstream: status %d", response.StatusCode)
+	}
+	return nil
+}
+
+// reportEvidence sends this node's counts to the zone's collector and, on the
+// collector, tests the zone's evidence.
+func (n *Node) reportEvidence(ctx context.Context) {
+	collector, ok := n.collectorOf(n.d.Zone)
+	if !ok {
+		return
+	}
+	if id := n.recorder.Rollout(); id != "" {
+		n.report(ctx, collector, id)
+	}
+	if collector.ID == n.d.ID {
+		n.testZone()
+	}
+}
+
+func (n *Node) report(ctx context.Context, collector membership.Member, rollout string) {
+	self := n.table.Self()
+	report := evidence.Report{
+		Rollout:     rollout,
+		From:        self.ID,
+		Incarnation: self.Incarnation,
+		Sequence:    n.reports.Add(1),
+		Tallies:     n.recorder.Tallies(),
+	}
+	if collector.ID == self.ID {
+		n.collector.Take(n.d.Now(), report)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, _evidenceTimeout)
+	defer cancel()
+	_, err := n.clients.To(collector.Peer).Report(ctx, connect.NewRequest(wire.EncodeReport(report)))
+	if err != nil {
+		n.d.Logger.V(1).Info("Evidence not reported", "collector", collector.ID, "cause", err.Error())
+	}
+}
+
+// testZone quarantines the candidates that the zone's evidence is against.
+func (n *Node) testZone() {
+	current := n.holder.Current()
+	if current == nil {
+		return
+	}
+	active := make(map[string]bool)
+	for _, service := range current.Config.Services {
+		mark := service.Rollout
+		if mark.ID == "" {
+			continue
+		}
+		active[mark.ID] = true
+		detector, ok := n.detectors[mark.ID]
+		if !ok {
+			detector = evidence.NewDetector(mark.Baseline, mark.Candidate)
+			n.detectors[mark.ID] = detector
+		}
+		detector.Observe(n.d.Zone, n.collector.Reports(mark.ID))
+		if verdict := detector.Verdict(); verdict.Bad {
+			n.quarantine(service, verdict)
+		}
+	}
+	for id := range n.detectors {
+		if !active[id] {
+			delete(n.detectors, id)
+		}
+	}
+}
+
+func (n *Node) quarantine(service config.Service, verdict evidence.Verdict) {
+	news := n.quarantines.Add(quarantine.Quarantine{
+		Rollout: service.Rollout.ID,
+		Zone:    n.d.Zone,
+		Service: service.Name,
+		Version: service.Rollout.Candidate,
+		Reason:  verdict.Reason,
+	})
+	if news {
+		n.d.Logger.Info("Quarantined version", "zone", n.d.Zone, "service", service.Name,
+			"version", service.Rollout.Candidate, "reason", verdict.Reason)
+	}
+}
+
+// Gather reads the evidence of all zones at once.
+func (n *Node) Gather(ctx context.Context, rollout string) []control.ZoneReports {
+	zones := append(n.table.OtherZones(), n.d.Zone)
+	slices.Sort(zones)
+	gathered := make(chan control.ZoneReports, len(zones))
+	for _, zone := range zones {
+		go func() { gathered <- n.gatherZone(ctx, zone, rollout) }()
+	}
+	all := make([]control.ZoneReports, 0, len(zones))
+	for range zones {
+		all = append(all, <-gathered)
+	}
+	return all
+}
+
+func (n *Node) gatherZone(ctx context.Context, zone membership.Zone, rollout string) control.ZoneReports {
+	result := control.ZoneReports{Zone: zone}
+	collector, ok := n.collectorOf(zone)
+	if !ok {
+		return result
+	}
+	if collector.ID == n.d.ID {
+		result.Reached = true
+		result.Reports = n.collector.Reports(rollout)
+		return result
+	}
+	ctx, cancel := context.WithTimeout(ctx, _evidenceTimeout)
+	defer cancel()
+	response, err := n.clients.To(collector.Peer).Collect(ctx, connect.NewRequest(&lentilferryv1.CollectRequest{Rollout: rollout}))
+	if err != nil {
+		return result
+	}
+	result.Reached = true
+	for _, report := range response.Msg.GetReports() {
+		result.Reports = append(result.Reports, wire.DecodeReport(report))
+	}
+	return result
+}
+
+// controlStep lets a relay stand for the controller's role.
+func (n *Node) controlStep(ctx context.Context) {
+	if !n.controller.Holds() && !n.isRelay() {
+		return
+	}
+	if err := n.controller.Step(ctx); err != nil {
+		n.d.Logger.Info("Controller step failed", "cause", err.Error())
+	}
+}
--- /dev/null
+++ b/operator/server.go
@@ -0,0 +1,224 @@
+// Package operator serves operators' requests on a node.
+package operator
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	"lentilferry.example/lentilferry/common/faults"
+	"lentilferry.example/lentilferry/config"
+	"lentilferry.example/lentilferry/control"
+	lentilferryv1 "lentilferry.example/lentilferry/gen/lentilferry/v1"
+	"lentilferry.example/lentilferry/gen/lentilferry/v1/lentilferryv1connect"
+	"lentilferry.example/lentilferry/membership"
+	"lentilferry.example/lentilferry/platform"
+	"lentilferry.example/lentilferry/revision"
+	"lentilferry.example/lentilferry/rollout"
+	"lentilferry.example/lentilferry/wire"
+)
+
+// Node is what the server needs of the node it runs on.
+type Node interface {
+	Operations() *control.Operations
+	Holder() *revision.Holder
+	Members() *membership.Table
+	InForce(now time.Time) membership.InForce
+}
+
+// Server answers operators.
+type Server struct {
+	node Node
+	now  func() time.Time
+}
+
+var _ lentilferryv1connect.OperatorServiceHandler = (*Server)(nil)
+
+// New returns a server.
+func New(node Node, now func() time.Time) *Server {
+	return &Server{node: node, now: now}
+}
+
+// Handler returns the server's path and handler.
+func (s *Server) Handler() (string, http.Handler) {
+	return lentilferryv1connect.NewOperatorServiceHandler(s, connect.WithReadMaxBytes(2*config.MaxDocumentBytes))
+}
+
+// fail maps an error to the code that tells the operator what it means.
+func fail(err error) error {
+	var invalid faults.List
+	code := connect.CodeInternal
+	switch {
+	case errors.As(err, &invalid):
+		code = connect.CodeInvalidArgument
+	case errors.Is(err, control.ErrUnresolved):
+		code = connect.CodeUnknown
+	case errors.Is(err, rollout.ErrInfeasible), errors.Is(err, rollout.ErrOutdated):
+		code = connect.CodeFailedPrecondition
+	case errors.Is(err, rollout.ErrState), errors.Is(err, platform.ErrConflict):
+		code = connect.CodeAborted
+	case errors.Is(err, platform.ErrNotFound):
+		code = connect.CodeNotFound
+	case errors.Is(err, platform.ErrUnavailable):
+		code = connect.CodeUnavailable
+	}
+	return connect.NewError(code, err)
+}
+
+// named checks that a request names its operator and operation.
+func named(operator, operation string) error {
+	var missing faults.List
+	if operator == "" {
+		missing.Add("operator", "is empty; say who you are")
+	}
+	if operation == "" {
+		missing.Add("operation", "is empty; give the request an identity of its own")
+	}
+	if len(missing) > 0 {
+		return fail(missing)
+	}
+	return nil
+}
+
+// Plan answers an intent.
+func (s *Server) Plan(ctx context.Context, r *connect.Request[lentilferryv1.PlanRequest]) (*connect.Response[lentilferryv1.PlanResponse], error) {
+	if err := named(r.Msg.GetOperator(), r.Msg.GetOperation()); err != nil {
+		return nil, err
+	}
+	planned, err := s.node.Operations().Plan(ctx, rollout.Intent{
+		Service:   config.ServiceName(r.Msg.GetService()),
+		Version:   config.VersionName(r.Msg.GetVersion()),
+		Share:     config.Share(r.Msg.GetShare()),
+		Deadline:  time.Unix(0, r.Msg.GetDeadlineUnixNanos()),
+		Operator:  r.Msg.GetOperator(),
+		Operation: r.Msg.GetOperation(),
+	})
+	if err != nil {
+		return nil, fail(err)
+	}
+	return connect.NewResponse(&lentilferryv1.PlanResponse{Rollout: wire.EncodeRollout(planned)}), nil
+}
+
+// Confirm starts a planned rollout.
+func (s *Server) Confirm(ctx context.Context, r *connect.Request[lentilferryv1.ConfirmRequest]) (*connect.Response[lentilferryv1.ConfirmResponse], error) {
+	changed, err := s.say(ctx, r.Msg, s.node.Operations().Confirm)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&lentilferryv1.ConfirmResponse{Rollout: changed}), nil
+}
+
+// Reject ends a planned rollout.
+func (s *Server) Reject(ctx context.Context, r *connect.Request[lentilferryv1.RejectRequest]) (*connect.Response[lentilferryv1.RejectResponse], error) {
+	changed, err := s.say(ctx, r.Msg, s.node.Operations().Reject)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&lentilferryv1.RejectResponse{Rollout: changed}), nil
+}
+
+// Rollback takes a running rollout back.
+func (s *Server) Rollback(ctx context.Context, r *connect.Request[lentilferryv1.RollbackRequest]) (*connect.Response[lentilferryv1.RollbackResponse], error) {
+	changed, err := s.say(ctx, r.Msg, s.node.Operations().Rollback)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&lentilferryv1.RollbackResponse{Rollout: changed}), nil
+}
+
+// wordMessage is a request that carries an operator's word on a rollout.
+type wordMessage interface {
+	GetId() string
+	GetOperator() string
+	GetOperation() string
+}
+
+func (s *Server) say(
+	ctx context.Context,
+	m wordMessage,
+	operation func(context.Context, control.Word) (rollout.Rollout, error),
+) (*lentilferryv1.Rollout, error) {
+	if err := named(m.GetOperator(), m.GetOperation()); err != nil {
+		return nil, err
+	}
+	changed, err := operation(ctx, control.Word{ID: m.GetId(), Operator: m.GetOperator(), Operation: m.GetOperation()})
+	if err != nil {
+		return nil, fail(err)
+	}
+	return wire.EncodeRollout(changed), nil
+}
+
+// Status says what is in force and how the rollouts stand.
+func (s *Server) Status(ctx context.Context, r *connect.Request[lentilferryv1.StatusRequest]) (*connect.Response[lentilferryv1.StatusResponse], error) {
+	inForce := s.node.InForce(s.now())
+	refusal := s.node.Holder().Refusal()
+	response := &lentilferryv1.StatusResponse{
+		Revision:        s.node.Holder().Number(),
+		InForce:         inForce.Number,
+		RefusedReason:   refusal.Reason,
+		RefusedRevision: refusal.Number,
+	}
+	for _, h := range inForce.HeldBack {
+		response.HeldBack = append(response.HeldBack, &lentilferryv1.HeldBack{Node: string(h.ID), Zone: string(h.Zone), Revision: h.Revision})
+	}
+	for _, zone := range inForce.LeftOut {
+		response.LeftOutZones = append(response.LeftOutZones, string(zone))
+	}
+	rollouts, err := s.node.Operations().Rollouts(ctx)
+	if err != nil {
+		response.Platform = err.Error()
+	}
+	for _, one := range rollouts {
+		if r.Msg.GetService() == "" || string(one.Service) == r.Msg.GetService() {
+			response.Rollouts = append(response.Rollouts, wire.EncodeRollout(one))
+		}
+	}
+	return connect.NewResponse(response), nil
+}
+
+// ApplyConfig checks a document and makes it the configuration in force.
+func (s *Server) ApplyConfig(ctx context.Context, r *connect.Request[lentilferryv1.ApplyConfigRequest]) (*connect.Response[lentilferryv1.ApplyConfigResponse], error) {
+	if err := named(r.Msg.GetOperator(), r.Msg.GetOperation()); err != nil {
+		return nil, err
+	}
+	applied, err := s.node.Operations().Apply(ctx, r.Msg.GetDocument(), r.Msg.GetOperator(), r.Msg.GetOperation(), r.Msg.GetDryRun())
+	if err != nil {
+		return nil, fail(err)
+	}
+	response := &lentilferryv1.ApplyConfigResponse{Revision: applied.Revision}
+	for _, c := range applied.Changes {
+		response.Changes = append(response.Changes, &lentilferryv1.ConfigChange{
+			Kind: c.Key.Kind.String(), Name: c.Key.Name, Change: string(c.Kind),
+		})
+	}
+	return connect.NewResponse(response), nil
+}
+
+// GetConfig returns the configuration that this node runs.
+func (s *Server) GetConfig(context.Context, *connect.Request[lentilferryv1.GetConfigRequest]) (*connect.Response[lentilferryv1.GetConfigResponse], error) {
+	current := s.node.Holder().Current()
+	if current == nil {
+		return nil, connect.NewError(connect.CodeNotFound, errors.New("the node has no configuration yet; apply one with 'lentilferry config apply'"))
+	}
+	document, err := config.FormatYAML(current.Config)
+	if err != nil {
+		return nil, fail(err)
+	}
+	return connect.NewResponse(&lentilferryv1.GetConfigResponse{Revision: current.Manifest.Number, Document: document}), nil
+}
+
+// Members returns the members that this node knows.
+func (s *Server) Members(context.Context, *connect.Request[lentilferryv1.MembersRequest]) (*connect.Response[lentilferryv1.MembersResponse], error) {
+	table := s.node.Members()
+	response := &lentilferryv1.MembersResponse{
+		Self:    string(table.Self().ID),
+		Members: wire.EncodeMembers(table.Members()),
+	}
+	for _, d := range table.Digests(s.now()) {
+		response.Zones = append(response.Zones, &lentilferryv1.ZoneStatus{Zone: string(d.Zone), AgeMillis: uint64(max(0, d.Age.Milliseconds()))})
+	}
+	return connect.NewResponse(response), nil
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,74 @@
+package peer
+
+import (
+	"context"
+	"net/netip"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	"lentilferry.example/lentilferry/evidence"
+	lentilferryv1 "lentilferry.example/lentilferry/gen/lentilferry/v1"
+	"lentilferry.example/lentilferry/gen/lentilferry/v1/lentilferryv1connect"
+	"lentilferry.example/lentilferry/membership"
+	"lentilferry.example/lentilferry/wire"
+)
+
+// Server answers what other nodes ask.
+type Server struct {
+	gossip    *Gossip
+	collector *evidence.Collector
+}
+
+var _ lentilferryv1connect.PeerServiceHandler = (*Server)(nil)
+
+// NewServer returns a server.
+func NewServer(gossip *Gossip, collector *evidence.Collector) *Server {
+	return &Server{gossip: gossip, collector: collector}
+}
+
+// Exchange answers a probe.
+func (s *Server) Exchange(_ context.Context, r *connect.Request[lentilferryv1.ExchangeRequest]) (*connect.Response[lentilferryv1.ExchangeResponse], error) {
+	return connect.NewResponse(s.gossip.Answer(r.Msg)), nil
+}
+
+// ProbeFor probes a member for another node.
+func (s *Server) ProbeFor(ctx context.Context, r *connect.Request[lentilferryv1.ProbeForRequest]) (*connect.Response[lentilferryv1.ProbeForResponse], error) {
+	var address netip.AddrPort
+	if err := address.UnmarshalBinary(r.Msg.GetPeer()); err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.Wrap(err, "peer"))
+	}
+	err := s.gossip.Exchange(ctx, membership.NodeID(r.Msg.GetTarget()), address)
+	return connect.NewResponse(&lentilferryv1.ProbeForResponse{Reached: err == nil}), nil
+}
+
+// Pull serves the revision held here. Only a few are served at once, so that
+// a herd of starting nodes does not overrun one peer.
+func (s *Server) Pull(ctx context.Context, r *connect.Request[lentilferryv1.PullRequest]) (*connect.Response[lentilferryv1.PullResponse], error) {
+	select {
+	case s.gossip.serving <- struct{}{}:
+		defer func() { <-s.gossip.serving }()
+	case <-ctx.Done():
+		return nil, connect.NewError(connect.CodeResourceExhausted, errors.New("too many pulls at once"))
+	}
+	response := &lentilferryv1.PullResponse{}
+	if bundle, ok := s.gossip.d.Replica.BundleFor(r.Msg.GetHave()); ok {
+		response.Bundle = wire.EncodeBundle(bundle)
+	}
+	return connect.NewResponse(response), nil
+}
+
+// Report takes in a node's evidence.
+func (s *Server) Report(_ context.Context, r *connect.Request[lentilferryv1.ReportRequest]) (*connect.Response[lentilferryv1.ReportResponse], error) {
+	s.collector.Take(s.gossip.d.Now(), wire.DecodeReport(r.Msg))
+	return connect.NewResponse(&lentilferryv1.ReportResponse{}), nil
+}
+
+// Collect returns the zone's evidence.
+func (s *Server) Collect(_ context.Context, r *connect.Request[lentilferryv1.CollectRequest]) (*connect.Response[lentilferryv1.CollectResponse], error) {
+	response := &lentilferryv1.CollectResponse{}
+	for _, report := range s.collector.Reports(r.Msg.GetRollout()) {
+		response.Reports = append(response.Reports, wire.EncodeReport(report))
+	}
+	return connect.NewResponse(response), nil
+}
--- /dev/null
+++ b/quarantine/quarantine.go
@@ -0,0 +1,115 @@
+// Package quarantine takes a bad candidate version out of one zone's traffic
+// before the platform is reached. A quarantine belongs to one rollout and
+// only ever lowers the candidate's share.
+package quarantine
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"lentilferry.example/lentilferry/config"
+	"lentilferry.example/lentilferry/membership"
+)
+
+// Quarantine takes one candidate out of one zone's traffic.
+type Quarantine struct {
+	Rollout string
+	Zone    membership.Zone
+	Service config.ServiceName
+	Version config.VersionName
+	Reason  string
+}
+
+type key struct {
+	rollout string
+	zone    membership.Zone
+}
+
+// _most bounds the quarantines that are kept.
+const _most = 256
+
+// Set holds the known quarantines. Sets of different nodes merge to the same
+// set in any order. It is safe for concurrent use.
+type Set struct {
+	mu   sync.Mutex
+	held map[key]Quarantine
+	// view is a copy of held for readers.
+	view atomic.Pointer[map[key]Quarantine]
+}
+
+// New returns an empty set.
+func New() *Set {
+	s := &Set{held: make(map[key]Quarantine)}
+	s.publish()
+	return s
+}
+
+func (s *Set) publish() {
+	view := make(map[key]Quarantine, len(s.held))
+	for k, q := range s.held {
+		view[k] = q
+	}
+	s.view.Store(&view)
+}
+
+// Add takes in a quarantine and reports whether it was news.
+func (s *Set) Add(q Quarantine) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := key{rollout: q.Rollout, zone: q.Zone}
+	if _, ok := s.held[k]; ok || len(s.held) >= _most {
+		return false
+	}
+	s.held[k] = q
+	s.publish()
+	return true
+}
+
+// Prune drops the quarantines of rollouts that no service carries. One of a
+// rollout that this node's configuration does not know yet comes again with
+// the next exchange.
+func (s *Set) Prune(services []config.Service) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	active := make(map[string]bool, len(services))
+	for _, service := range services {
+		active[service.Rollout.ID] = true
+	}
+	for k := range s.held {
+		if !active[k.rollout] {
+			delete(s.held, k)
+		}
+	}
+	s.publish()
+}
+
+// Excluded returns the version that is quarantined for a service in a zone,
+// empty when none is.
+func (s *Set) Excluded(zone membership.Zone, service config.Service) config.VersionName {
+	if service.Rollout.ID == "" {
+		return ""
+	}
+	q, ok := (*s.view.Load())[key{rollout: service.Rollout.ID, zone: zone}]
+	if !ok || q.Version != service.Rollout.Candidate {
+		return ""
+	}
+	return q.Version
+}
+
+// All returns the quarantines, sorted by rollout and zone.
+func (s *Set) All() []Quarantine {
+	view := *s.view.Load()
+	all := make([]Quarantine, 0, len(view))
+	for _, q := range view {
+		all = append(all, q)
+	}
+	slices.SortFunc(all, func(a, b Quarantine) int {
+		if c := strings.Compare(a.Rollout, b.Rollout); c != 0 {
+			return c
+		}
+		return strings.Compare(string(a.Zone), string(b.Zone))
+	})
+	return all
+}
--- /dev/null
+++ b/quickstart/main.go
@@ -0,0 +1,98 @@
+// Quickstart shows the whole system in one process: a stand-in platform,
+// stand-in upstreams and nodes in two availability zones. It moves a good
+// version while calls flow, rolls a bad one back, and checks what must hold.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v4"
+	"github.com/peterbourgon/ff/v4/ffhelp"
+	"k8s.io/klog/v2"
+)
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	flags := ff.NewFlagSet("quickstart")
+	logFile := flags.StringLong("log", "", "file for the nodes' log lines; none are kept without it")
+	rate := flags.IntLong("calls", 400, "calls a second, at most 2000")
+	err := ff.Parse(flags, args)
+	if errors.Is(err, ff.ErrHelp) {
+		fmt.Print(ffhelp.Flags(flags, "quickstart [FLAGS]"))
+		return 0
+	}
+	if err == nil && (*rate < 50 || *rate > 2000) {
+		err = errors.Newf("--calls: %d is out of range; use 50 to 2000", *rate)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "quickstart:", err)
+		return 2
+	}
+	closeLog, err := setLog(*logFile)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "quickstart:", err)
+		return 2
+	}
+	defer closeLog()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := show(ctx, *rate); err != nil {
+		fmt.Fprintln(os.Stderr, "quickstart: FAILED:", err)
+		return 1
+	}
+	return 0
+}
+
+// setLog sends the nodes' log lines to a file, or nowhere.
+func setLog(name string) (func(), error) {
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	for flagName, value := range map[string]string{"logtostderr": "false", "stderrthreshold": "FATAL"} {
+		if err := flags.Set(flagName, value); err != nil {
+			return nil, errors.Wrapf(err, "set up logs: %s", flagName)
+		}
+	}
+	if name == "" {
+		klog.SetOutput(io.Discard)
+		return klog.Flush, nil
+	}
+	file, err := os.Create(name)
+	if err != nil {
+		return nil, errors.Wrap(err, "--log")
+	}
+	klog.SetOutput(file)
+	return func() {
+		klog.Flush()
+		_ = file.Close()
+	}, nil
+}
+
+// show runs the whole story.
+func show(ctx context.Context, rate int) error {
+	ctx, cancel := context.WithTimeout(ctx, _longest)
+	defer cancel()
+	m, err := startMesh(ctx)
+	if err != nil {
+		return err
+	}
+	defer m.stop()
+	s := &story{mesh: m, operator: newOperatorClient(m), began: time.Now()}
+	if err := s.tell(ctx, rate); err != nil {
+		return err
+	}
+	return s.judge()
+}
+
+// _longest bounds the whole run.
+const _longest = 2 * time.Minute
--- /dev/null
+++ b/quickstart/mesh.go
@@ -0,0 +1,248 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"lentilferry.example/lentilferry/config"
+	"lentilferry.example/lentilferry/internal/fakes/fakeplatform"
+	"lentilferry.example/lentilferry/internal/fakes/fakeupstream"
+	"lentilferry.example/lentilferry/lease"
+	"lentilferry.example/lentilferry/membership"
+	"lentilferry.example/lentilferry/node"
+	"lentilferry.example/lentilferry/operator"
+	"lentilferry.example/lentilferry/platform"
+)
+
+// The parts of the mesh.
+const (
+	_service = config.ServiceName("archive-desk")
+	_old     = config.VersionName("v1")
+	_good    = config.VersionName("v2")
+	_bad     = config.VersionName("v3")
+	_slots   = 12
+	// _work is how long a call takes at an upstream.
+	_work = 2 * time.Millisecond
+	// _badRatio is the part of the bad version's calls that fail.
+	_badRatio = 0.5
+)
+
+// _document is the configuration.
+const _document = `
+services:
+  - name: archive-desk
+    weights:
+      - {version: v1, share: 100}
+versions:
+  - {service: archive-desk, name: v1}
+  - {service: archive-desk, name: v2}
+  - {service: archive-desk, name: v3}
+routes:
+  - {name: slips, service: archive-desk, pathPrefix: /slips, class: lookup, timeout: 2s}
+  - {name: batches, service: archive-desk, pathPrefix: /batches, class: command, timeout: 5s}
+policies:
+  - {service: archive-desk, stages: [5, 25, 100], minDwell: 2s, minStageCalls: 20, convergenceAllowance: 1s}
+`
+
+// one is a node with its upstream.
+type one struct {
+	node     *node.Node
+	id       membership.NodeID
+	calls    netip.AddrPort
+	admin    netip.AddrPort
+	upstream *fakeupstream.Upstream
+}
+
+// mesh is all that runs in this process.
+type mesh struct {
+	platform *fakeplatform.Platform
+	base     *url.URL
+	nodes    []*one
+	running  sync.WaitGroup
+	cancel   context.CancelFunc
+
+	mu sync.Mutex
+	// failures holds the errors of nodes that could not go on.
+	failures []error
+}
+
+func startMesh(ctx context.Context) (*mesh, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	m := &mesh{platform: fakeplatform.New(), cancel: cancel}
+	address, err := m.serve(ctx, m.platform.Handler())
+	if err != nil {
+		return nil, err
+	}
+	m.base = &url.URL{Scheme: "http", Host: address.String()}
+	for _, zone := range []membership.Zone{"capital-a", "capital-b"} {
+		for _, version := range []config.VersionName{_old, _old, _good, _good, _bad, _bad} {
+			if err := m.startNode(ctx, zone, version); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return m, nil
+}
+
+// serve serves a stand-in on a free loopback port.
+func (m *mesh) serve(ctx context.Context, handler http.Handler) (netip.AddrPort, error) {
+	listener, err := listen()
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	m.running.Go(func() { _ = server.Serve(listener) })
+	m.running.Go(func() {
+		<-ctx.Done()
+		_ = server.Close()
+	})
+	return addressOf(listener), nil
+}
+
+func listen() (net.Listener, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	return listener, errors.Wrap(err, "listen on loopback")
+}
+
+func addressOf(l net.Listener) netip.AddrPort {
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func (m *mesh) startNode(ctx context.Context, zone membership.Zone, version config.VersionName) error {
+	upstream := fakeupstream.New(string(version), _work)
+	if version == _bad {
+		upstream.SetFaults(fakeupstream.Faults{FailRatio: _badRatio})
+	}
+	upstreamAddress, err := m.serve(ctx, upstream)
+	if err != nil {
+		return err
+	}
+	listeners, err := listeners()
+	if err != nil {
+		return err
+	}
+	id := membership.NodeID(fmt.Sprintf("%s-%02d", zone, len(m.nodes)+1))
+	n := node.New(node.Dependencies{
+		ID:     id,
+		Region: "capital",
+		Zone:   zone,
+		Peer:   addressOf(listeners.Peers),
+		Upstream: node.Upstream{
+			Service:    _service,
+			Version:    version,
+			Address:    upstreamAddress,
+			HealthPath: "/healthz",
+			Slots:      _slots,
+			Warmup:     500 * time.Millisecond,
+		},
+		Periods:    quickPeriods(),
+		Membership: membership.DefaultTiming(),
+		Lease:      lease.Timing{Lifetime: 2 * time.Second, RenewEvery: 500 * time.Millisecond, Margin: 500 * time.Millisecond},
+		Platform:   platform.NewHTTPClient(platform.HTTPDependencies{Base: m.base, Transport: &http.Transport{}}),
+		Listeners:  listeners,
+		Logger:     klog.Background().WithValues("node", id),
+		Now:        time.Now,
+		Operator: func(n *node.Node) (string, http.Handler) {
+			return operator.New(n, time.Now).Handler()
+		},
+	})
+	m.nodes = append(m.nodes, &one{
+		node:     n,
+		id:       id,
+		calls:    addressOf(listeners.Calls),
+		admin:    addressOf(listeners.Admin),
+		upstream: upstream,
+	})
+	m.running.Go(func() {
+		if err := n.Run(ctx); err != nil && ctx.Err() == nil {
+			m.fail(errors.Wrapf(err, "node %s", id))
+		}
+	})
+	return nil
+}
+
+func listeners() (node.Listeners, error) {
+	var l node.Listeners
+	for _, into := range []*net.Listener{&l.Calls, &l.Peers, &l.Admin} {
+		listener, err := listen()
+		if err != nil {
+			return node.Listeners{}, err
+		}
+		*into = listener
+	}
+	return l, nil
+}
+
+// quickPeriods are short, so that the story is told within a minute.
+func quickPeriods() node.Periods {
+	return node.Periods{
+		Gossip:        200 * time.Millisecond,
+		Zones:         300 * time.Millisecond,
+		Evidence:      200 * time.Millisecond,
+		Control:       200 * time.Millisecond,
+		Health:        200 * time.Millisecond,
+		DrainAtMost:   5 * time.Second,
+		LeaveOutAfter: time.Minute,
+	}
+}
+
+func (m *mesh) fail(err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.failures = append(m.failures, err)
+}
+
+// stop ends all that was started.
+func (m *mesh) stop() {
+	m.cancel()
+	m.running.Wait()
+}
+
+// controlBytes returns the control bytes of all nodes, each message counted
+// once at its sender and once at its receiver.
+func (m *mesh) controlBytes() uint64 {
+	var total uint64
+	for _, n := range m.nodes {
+		total += n.node.ControlBytes()
+	}
+	return total
+}
+
+// numbers returns each node's revision.
+func (m *mesh) numbers() []uint64 {
+	numbers := make([]uint64, 0, len(m.nodes))
+	for _, n := range m.nodes {
+		numbers = append(numbers, n.node.Members().Self().Revision)
+	}
+	return numbers
+}
+
+// waitFor waits until all nodes run the revision and returns how long it took.
+func (m *mesh) waitFor(ctx context.Context, revision uint64) (time.Duration, error) {
+	began := time.Now()
+	for {
+		behind := 0
+		for _, number := range m.numbers() {
+			if number < revision {
+				behind++
+			}
+		}
+		if behind == 0 {
+			return time.Since(began), nil
+		}
+		select {
+		case <-ctx.Done():
+			return 0, errors.Wrapf(ctx.Err(), "%d nodes are behind revision %d", behind, revision)
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
--- a/revision/revision.go
+++ b/revision/revision.go
@@ -179,8 +179,8 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "revision %d", m.Number), ErrInvalid)
 	}
-	if faults := config.Check(c); len(faults) > 0 {
-		return nil, errors.Mark(errors.Wrapf(faults, "revision %d", m.Number), ErrInvalid)
+	if found := config.Check(c); len(found) > 0 {
+		return nil, errors.Mark(errors.Wrapf(found, "revision %d", m.Number), ErrInvalid)
 	}
 	return &Snapshot{Manifest: m, Config: c, Values: kept}, nil
 }
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -139,8 +139,10 @@
 	Epoch uint64
 	// Operator confirmed, rejected or planned the rollout.
 	Operator string
-	// LastOperation identifies the last write.
+	// LastOperation identifies the last transition.
 	LastOperation string
+	// ConfirmOperation identifies the operator's confirmation.
+	ConfirmOperation string
 	// Reason says why the rollout ended, or is being rolled back.
 	Reason string
 	// WaitingFor says what the next transition waits for.
@@ -203,6 +205,7 @@
 	}
 	r.Operator = operator
 	r.LastOperation = operation
+	r.ConfirmOperation = operation
 	r.FinishAt = now.Add(r.length())
 	return nil
 }
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -232,8 +232,8 @@
 	case 1:
 		return kept[0]
 	}
-	i := rand.IntN(len(kept)) //nolint:gosec // Load balancing needs no secrecy.
-	j := rand.IntN(len(kept) - 1) //nolint:gosec // Load balancing needs no secrecy.
+	i := rand.IntN(len(kept))
+	j := rand.IntN(len(kept) - 1)
 	if j >= i {
 		j++
 	}
@@ -251,4 +251,3 @@
 	}
 	return false
 }
-
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,345 @@
+// Package settings reads a node's settings from flags, the environment and a
+// YAML file, and checks them before anything starts.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v4"
+
+	"lentilferry.example/lentilferry/common/faults"
+	"lentilferry.example/lentilferry/config"
+	"lentilferry.example/lentilferry/lease"
+	"lentilferry.example/lentilferry/membership"
+	"lentilferry.example/lentilferry/node"
+)
+
+// EnvPrefix begins the names of the settings in the environment.
+const EnvPrefix = "LENTILFERRYD"
+
+// Settings are a node's checked settings.
+type Settings struct {
+	ID           membership.NodeID
+	Region       membership.Region
+	Zone         membership.Zone
+	CallAddress  netip.AddrPort
+	PeerAddress  netip.AddrPort
+	AdminAddress netip.AddrPort
+	Platform     *url.URL
+	Seeds        []netip.AddrPort
+	Upstream     node.Upstream
+	Periods      node.Periods
+	Membership   membership.Timing
+	Lease        lease.Timing
+	// Verbosity is klog's level.
+	Verbosity int
+	// PrintOnly asks to print the settings and do nothing else.
+	PrintOnly bool
+
+	// effective holds each setting's text, in order.
+	effective []effective
+}
+
+type effective struct {
+	name string
+	text string
+}
+
+// setting is one setting as text.
+type setting struct {
+	// name is that of the flag; see yamlName for the file.
+	name         string
+	defaultValue string
+	help         string
+	value        *string
+}
+
+// _definitions are all settings, in the order in which they are printed.
+func definitions() []setting {
+	p := node.DefaultPeriods()
+	m := membership.DefaultTiming()
+	l := lease.DefaultTiming()
+	return []setting{
+		{name: "id", help: "name of this node, unique in the mesh; keep it when the VM is replaced"},
+		{name: "region", help: "region of this VM"},
+		{name: "zone", help: "availability zone of this VM"},
+		{name: "call-address", defaultValue: "127.0.0.1:7901", help: "IP:port that callers use"},
+		{name: "peer-address", defaultValue: "127.0.0.1:7902", help: "IP:port that other nodes use"},
+		{name: "admin-address", defaultValue: "127.0.0.1:7903", help: "IP:port for operators, health checks and metrics"},
+		{name: "platform-url", help: "root of the platform's object API"},
+		{name: "seeds", help: "peer addresses to ask first, for starts while the platform is down"},
+		{name: "service", help: "service of this VM's upstream; empty for a node without one"},
+		{name: "version", help: "version of this VM's upstream"},
+		{name: "upstream-address", help: "IP:port of this VM's upstream"},
+		{name: "upstream-health-path", help: "path that answers 200 while the upstream is well; empty to only connect"},
+		{name: "slots", defaultValue: "8", help: "calls that the upstream runs at once"},
+		{name: "warmup", defaultValue: "10s", help: "time for which a fresh upstream is cold"},
+		{name: "gossip-period", defaultValue: p.Gossip.String(), help: "time between probes of members"},
+		{name: "zone-period", defaultValue: p.Zones.String(), help: "time between a relay's visits to other zones"},
+		{name: "evidence-period", defaultValue: p.Evidence.String(), help: "time between reports while a rollout is under way"},
+		{name: "control-period", defaultValue: p.Control.String(), help: "time between a controller's steps"},
+		{name: "health-period", defaultValue: p.Health.String(), help: "time between checks of the upstream"},
+		{name: "drain-timeout", defaultValue: p.DrainAtMost.String(), help: "longest wait for calls in flight at a planned stop"},
+		{name: "leave-out-after", defaultValue: p.LeaveOutAfter.String(), help: "silence after which a zone no longer holds rollouts back"},
+		{name: "suspicion-timeout", defaultValue: m.Suspicion.String(), help: "time that a suspected member has to answer"},
+		{name: "lease-lifetime", defaultValue: l.Lifetime.String(), help: "time after which a silent controller is replaced"},
+		{name: "verbosity", defaultValue: "0", help: "log level, from 0 to 9"},
+	}
+}
+
+// Load reads and checks the settings. The error is ff.ErrHelp when help was
+// asked for, and a faults.List when settings are wrong.
+func Load(args []string) (Settings, *ff.FlagSet, error) {
+	flags := ff.NewFlagSet("lentilferryd")
+	all := definitions()
+	values := make(map[string]*string, len(all))
+	for i := range all {
+		all[i].value = flags.StringLong(all[i].name, all[i].defaultValue, all[i].help)
+		values[all[i].name] = all[i].value
+	}
+	_ = flags.StringLong("config", "", "YAML file with settings, named in camelCase")
+	printOnly := flags.BoolLong("print-settings", "print the settings in force and exit")
+	file := fileParser{known: values}
+	err := ff.Parse(flags, args,
+		ff.WithEnvVarPrefix(EnvPrefix),
+		ff.WithConfigFileFlag("config"),
+		ff.WithConfigFileParser(file.parse),
+	)
+	if err != nil {
+		return Settings{}, flags, errors.Wrap(err, "read settings")
+	}
+	r := reader{values: values, found: file.found}
+	s := r.settings()
+	s.PrintOnly = *printOnly
+	for _, one := range all {
+		s.effective = append(s.effective, effective{name: yamlName(one.name), text: *one.value})
+	}
+	r.found = append(r.found, unknownEnvironment(values, os.Environ())...)
+	if len(r.found) > 0 {
+		return s, flags, r.found
+	}
+	return s, flags, nil
+}
+
+// unknownEnvironment finds variables that look like settings and are not.
+func unknownEnvironment(known map[string]*string, environment []string) faults.List {
+	var found faults.List
+	for _, entry := range environment {
+		name, _, _ := strings.Cut(entry, "=")
+		rest, ok := strings.CutPrefix(name, EnvPrefix+"_")
+		if !ok {
+			continue
+		}
+		flag := strings.ReplaceAll(strings.ToLower(rest), "_", "-")
+		if _, ok := known[flag]; !ok && flag != "config" && flag != "print-settings" {
+			found.Add(name, "is not a setting; remove it or correct the name")
+		}
+	}
+	return found
+}
+
+// yamlName returns the name of a setting in a file: call-address is
+// callAddress.
+func yamlName(flag string) string {
+	words := strings.Split(flag, "-")
+	for i := 1; i < len(words); i++ {
+		words[i] = strings.ToUpper(words[i][:1]) + words[i][1:]
+	}
+	return strings.Join(words, "")
+}
+
+// String returns the settings in force as a YAML file.
+func (s Settings) String() string {
+	var text strings.Builder
+	text.WriteString("# A flag goes before the environment (" + EnvPrefix + "_CALL_ADDRESS), which goes\n")
+	text.WriteString("# before the file given with --config, which goes before the default.\n")
+	for _, e := range s.effective {
+		fmt.Fprintf(&text, "%s: %s\n", e.name, strconv.Quote(e.text))
+	}
+	return text.String()
+}
+
+// reader turns texts into settings and collects what is wrong.
+type reader struct {
+	values map[string]*string
+	found  faults.List
+}
+
+func (r *reader) settings() Settings {
+	s := Settings{
+		ID:           membership.NodeID(r.name("id")),
+		Region:       membership.Region(r.name("region")),
+		Zone:         membership.Zone(r.name("zone")),
+		CallAddress:  r.address("call-address"),
+		PeerAddress:  r.address("peer-address"),
+		AdminAddress: r.address("admin-address"),
+		Platform:     r.url("platform-url"),
+		Seeds:        r.addresses("seeds"),
+		Upstream:     r.upstream(),
+		Periods: node.Periods{
+			Gossip:        r.duration("gossip-period"),
+			Zones:         r.duration("zone-period"),
+			Evidence:      r.duration("evidence-period"),
+			Control:       r.duration("control-period"),
+			Health:        r.duration("health-period"),
+			DrainAtMost:   r.duration("drain-timeout"),
+			LeaveOutAfter: r.duration("leave-out-after"),
+		},
+		Membership: membership.DefaultTiming(),
+		Lease:      lease.DefaultTiming(),
+		Verbosity:  r.number("verbosity", 0, 9),
+	}
+	s.Membership.Suspicion = r.duration("suspicion-timeout")
+	s.Lease = leaseTiming(r.duration("lease-lifetime"))
+	r.distinct(s)
+	return s
+}
+
+// leaseTiming keeps the proportions of the default.
+func leaseTiming(lifetime time.Duration) lease.Timing {
+	d := lease.DefaultTiming()
+	scale := float64(lifetime) / float64(d.Lifetime)
+	return lease.Timing{
+		Lifetime:   lifetime,
+		RenewEvery: time.Duration(float64(d.RenewEvery) * scale),
+		Margin:     time.Duration(float64(d.Margin) * scale),
+	}
+}
+
+func (r *reader) text(flag string) string {
+	return strings.TrimSpace(*r.values[flag])
+}
+
+func (r *reader) fault(flag, format string, args ...any) {
+	r.found.Add(yamlName(flag), format, args...)
+}
+
+func (r *reader) name(flag string) string {
+	text := r.text(flag)
+	switch {
+	case text == "":
+		r.fault(flag, "is empty; set it with --%s, %s_%s or in the file", flag, EnvPrefix, strings.ToUpper(strings.ReplaceAll(flag, "-", "_")))
+	case len(text) > config.MaxNameBytes:
+		r.fault(flag, "has %d bytes; shorten it to %d or fewer", len(text), config.MaxNameBytes)
+	case strings.ContainsAny(text, "/ \t\r\n\""):
+		r.fault(flag, "%q has a character that names may not have; use letters, digits, '-', '_' and '.'", text)
+	}
+	return text
+}
+
+func (r *reader) address(flag string) netip.AddrPort {
+	return r.parseAddress(flag, r.text(flag))
+}
+
+func (r *reader) parseAddress(flag, text string) netip.AddrPort {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		r.fault(flag, "%q is not an IP and port; write it as 10.0.0.7:7901", text)
+		return netip.AddrPort{}
+	}
+	if address.Port() == 0 {
+		r.fault(flag, "%q has port 0; give a port from 1 to 65535", text)
+	}
+	return address
+}
+
+func (r *reader) addresses(flag string) []netip.AddrPort {
+	var all []netip.AddrPort
+	for text := range strings.SplitSeq(r.text(flag), ",") {
+		if text = strings.TrimSpace(text); text != "" {
+			all = append(all, r.parseAddress(flag, text))
+		}
+	}
+	return all
+}
+
+func (r *reader) url(flag string) *url.URL {
+	text := r.text(flag)
+	parsed, err := url.Parse(text)
+	if err != nil || parsed.Scheme != "http" && parsed.Scheme != "https" || parsed.Host == "" {
+		r.fault(flag, "%q is not a URL; write it as http://10.0.0.1:7900", text)
+	}
+	return parsed
+}
+
+func (r *reader) duration(flag string) time.Duration {
+	text := r.text(flag)
+	d, err := time.ParseDuration(text)
+	switch {
+	case err != nil:
+		r.fault(flag, "%q is not a duration; write it as 2s or 500ms", text)
+		return time.Second
+	case d < time.Millisecond:
+		r.fault(flag, "%s is too short; use 1ms or more", text)
+		return time.Second
+	}
+	return d
+}
+
+func (r *reader) number(flag string, least, most int) int {
+	text := r.text(flag)
+	n, err := strconv.Atoi(text)
+	if err != nil || n < least || n > most {
+		r.fault(flag, "%q is not a number from %d to %d", text, least, most)
+		return least
+	}
+	return n
+}
+
+// _mostSlots bounds the calls that an upstream runs at once.
+const _mostSlots = 10_000
+
+func (r *reader) upstream() node.Upstream {
+	u := node.Upstream{
+		Slots:  r.number("slots", 1, _mostSlots),
+		Warmup: r.duration("warmup"),
+	}
+	if r.text("service") == "" {
+		for _, flag := range []string{"version", "upstream-address"} {
+			if r.text(flag) != "" {
+				r.fault(flag, "is set without service; set service too, or leave both out for a node without an upstream")
+			}
+		}
+		return u
+	}
+	u.Service = config.ServiceName(r.name("service"))
+	u.Version = config.VersionName(r.name("version"))
+	u.Address = r.address("upstream-address")
+	u.HealthPath = r.text("upstream-health-path")
+	if u.HealthPath != "" && !strings.HasPrefix(u.HealthPath, "/") {
+		r.fault("upstream-health-path", "%q does not begin with '/'; begin it with '/'", u.HealthPath)
+	}
+	return u
+}
+
+// distinct checks that no two sockets share an address.
+func (r *reader) distinct(s Settings) {
+	seen := make(map[netip.AddrPort]string)
+	for _, socket := range []struct {
+		flag    string
+		address netip.AddrPort
+	}{
+		{"call-address", s.CallAddress},
+		{"peer-address", s.PeerAddress},
+		{"admin-address", s.AdminAddress},
+		{"upstream-address", s.Upstream.Address},
+	} {
+		if !socket.address.IsValid() {
+			continue
+		}
+		if other, ok := seen[socket.address]; ok {
+			r.fault(socket.flag, "%s is %s too; give each an address of its own", socket.address, yamlName(other))
+		}
+		seen[socket.address] = socket.flag
+	}
+	if s.PeerAddress.IsValid() && s.PeerAddress.Addr().IsUnspecified() {
+		r.fault("peer-address", "%s can't be reached by other nodes; give this VM's own IP", s.PeerAddress)
+	}
+}
--- /dev/null
+++ b/wire/quarantine.go
@@ -0,0 +1,38 @@
+package wire
+
+import (
+	"lentilferry.example/lentilferry/config"
+	lentilferryv1 "lentilferry.example/lentilferry/gen/lentilferry/v1"
+	"lentilferry.example/lentilferry/membership"
+	"lentilferry.example/lentilferry/quarantine"
+)
+
+// EncodeQuarantines maps quarantines to their messages.
+func EncodeQuarantines(all []quarantine.Quarantine) []*lentilferryv1.Quarantine {
+	messages := make([]*lentilferryv1.Quarantine, 0, len(all))
+	for _, q := range all {
+		messages = append(messages, &lentilferryv1.Quarantine{
+			Rollout: q.Rollout,
+			Zone:    string(q.Zone),
+			Service: string(q.Service),
+			Version: string(q.Version),
+			Reason:  q.Reason,
+		})
+	}
+	return messages
+}
+
+// DecodeQuarantines reads quarantines back.
+func DecodeQuarantines(messages []*lentilferryv1.Quarantine) []quarantine.Quarantine {
+	all := make([]quarantine.Quarantine, 0, len(messages))
+	for _, message := range messages {
+		all = append(all, quarantine.Quarantine{
+			Rollout: message.GetRollout(),
+			Zone:    membership.Zone(message.GetZone()),
+			Service: config.ServiceName(message.GetService()),
+			Version: config.VersionName(message.GetVersion()),
+			Reason:  message.GetReason(),
+		})
+	}
+	return all
+}
