evidence: Keep bursts and shifting shares from condemning a good version

A pause of the whole process made a burst of slow calls just after the share was raised, when the old version had hardly any calls to compare with. Ruled out: the upstreams (same code) and the latency buckets. Change: calls are tested in windows of a second, each of which adds a bounded amount of evidence; slowness is only judged against the same moment's calls; 2% of the calls stay with the old version until the last stage was observed. A rollout is complete when its last revision is in force everywhere.

--- a/call/ingress.go
+++ b/call/ingress.go
@@ -186,6 +186,9 @@
 			break
 		}
 	}
+	if len(c.tried) == 0 {
+		c.ingress.d.Logger.Info("Refused call", "call", c.id, "route", c.target.Route.Name, "version", c.version, "reason", last.Reason)
+	}
 	c.ingress.d.Metrics.count(last)
 	last.write(c.writer, last.status())
 }
--- a/call/outcome.go
+++ b/call/outcome.go
@@ -137,9 +137,10 @@
 		return http.StatusNotImplemented
 	case ReasonDeadline:
 		return http.StatusGatewayTimeout
+	default:
+		if v.Outcome == Unknown {
+			return http.StatusBadGateway
+		}
+		return http.StatusServiceUnavailable
 	}
-	if v.Outcome == Unknown {
-		return http.StatusBadGateway
-	}
-	return http.StatusServiceUnavailable
 }
--- a/commands/output.go
+++ b/commands/output.go
@@ -13,6 +13,7 @@
 
 	"lentilferry.example/lentilferry/config"
 	lentilferryv1 "lentilferry.example/lentilferry/gen/lentilferry/v1"
+	"lentilferry.example/lentilferry/wire"
 )
 
 // print writes an answer in the form that was asked for.
@@ -89,6 +90,7 @@
 	for i, s := range r.GetStages() {
 		rows = append(rows, []string{fmt.Sprint(i + 1), percent(s.GetShare()), time.Duration(s.GetDwellNanos()).Round(time.Millisecond).String()})
 	}
+	rows = append(rows, []string{"end", percent(r.GetTargetShare()), "-"})
 	text.WriteString(table("STAGE\tSHARE\tOBSERVED FOR", rows))
 	fmt.Fprintf(&text, "\nDone at %s if nothing holds it up.\n\n", clock(r.GetFinishUnixNanos()))
 	rows = nil
@@ -126,14 +128,9 @@
 
 // currentShare returns the share that the candidate is to have now.
 func currentShare(r *lentilferryv1.Rollout) uint32 {
-	switch r.GetState() {
-	case lentilferryv1.RolloutState_ROLLOUT_STATE_RUNNING:
-		return r.GetStages()[r.GetStage()].GetShare()
-	case lentilferryv1.RolloutState_ROLLOUT_STATE_COMPLETE:
-		return r.GetTargetShare()
-	case lentilferryv1.RolloutState_ROLLOUT_STATE_ROLLING_BACK, lentilferryv1.RolloutState_ROLLOUT_STATE_ROLLED_BACK:
+	decoded, err := wire.DecodeRollout(r)
+	if err != nil {
 		return 0
-	default:
-		return r.GetFromShare()
 	}
+	return uint32(decoded.Share())
 }
--- a/commands/state.go
+++ b/commands/state.go
@@ -84,7 +84,7 @@
 	for _, z := range answer.GetZones() {
 		ages[membership.Zone(z.GetZone())] = time.Duration(z.GetAgeMillis()) * time.Millisecond
 	}
-	var rows [][]string
+	rows := make([][]string, 0, len(answer.GetMembers()))
 	for _, m := range wire.DecodeMembers(answer.GetMembers()) {
 		state := m.State.String()
 		if m.Suspected && !m.State.Gone() {
@@ -141,7 +141,7 @@
 				return err
 			}
 			if _, err := config.ParseYAML(document, config.Config{}); err != nil {
-				return errors.Wrapf(errUsage, "%s is not valid:\n  %s\n", args[0], strings.ReplaceAll(err.Error(), "\n", "\n  "))
+				return errors.Wrapf(errUsage, "%s is not valid:\n  %s", args[0], strings.ReplaceAll(err.Error(), "\n", "\n  "))
 			}
 			_, err = fmt.Fprintf(c.env.Stdout, "%s is valid.\n", args[0])
 			return errors.Wrap(err, "write answer")
@@ -218,7 +218,7 @@
 		document, err := io.ReadAll(io.LimitReader(os.Stdin, config.MaxDocumentBytes+1))
 		return document, errors.Wrap(err, "read standard input")
 	}
-	document, err := os.ReadFile(name)
+	document, err := os.ReadFile(name) //nolint:gosec // The operator names the file.
 	if err != nil {
 		return nil, errors.Wrapf(errUsage, "can't read the file: %s", err)
 	}
--- a/common/faults/faults.go
+++ b/common/faults/faults.go
@@ -34,7 +34,7 @@
 	return strings.Join(lines, "\n")
 }
 
-// Add appends a fault.
-func (l *List) Add(field, format string, args ...any) {
+// Addf appends a fault.
+func (l *List) Addf(field, format string, args ...any) {
 	*l = append(*l, Fault{Field: field, Problem: fmt.Sprintf(format, args...)})
 }
--- a/config/config_check.go
+++ b/config/config_check.go
@@ -29,30 +29,30 @@
 	found    faults.List
 }
 
-func (k *checker) fault(field, format string, args ...any) {
-	k.found.Add(field, format, args...)
+func (k *checker) faultf(field, format string, args ...any) {
+	k.found.Addf(field, format, args...)
 }
 
 func (k *checker) name(field, name string) {
 	switch {
 	case name == "":
-		k.fault(field, "is empty; give it a name")
+		k.faultf(field, "is empty; give it a name")
 	case len(name) > MaxNameBytes:
-		k.fault(field, "has %d bytes; shorten it to %d or fewer", len(name), MaxNameBytes)
+		k.faultf(field, "has %d bytes; shorten it to %d or fewer", len(name), MaxNameBytes)
 	case strings.ContainsAny(name, "/ \t\r\n\"?#%"):
-		k.fault(field, "%q has a character that names may not have; use letters, digits, '-', '_' and '.'", name)
+		k.faultf(field, "%q has a character that names may not have; use letters, digits, '-', '_' and '.'", name)
 	}
 }
 
 func (k *checker) index() {
 	if len(k.config.Services) > MaxServices {
-		k.fault("services", "has %d entries; the most is %d", len(k.config.Services), MaxServices)
+		k.faultf("services", "has %d entries; the most is %d", len(k.config.Services), MaxServices)
 	}
 	for _, s := range k.config.Services {
 		field := fmt.Sprintf("services[%s]", s.Name)
 		k.name(field+".name", string(s.Name))
 		if k.services[s.Name] {
-			k.fault(field, "is given twice; remove one")
+			k.faultf(field, "is given twice; remove one")
 		}
 		k.services[s.Name] = true
 	}
@@ -61,15 +61,15 @@
 		field := fmt.Sprintf("versions[%s/%s]", v.Service, v.Name)
 		k.name(field+".name", string(v.Name))
 		if k.versions[v] {
-			k.fault(field, "is given twice; remove one")
+			k.faultf(field, "is given twice; remove one")
 		}
 		if !k.services[v.Service] {
-			k.fault(field+".service", "service %q does not exist; add it to services or correct the name", v.Service)
+			k.faultf(field+".service", "service %q does not exist; add it to services or correct the name", v.Service)
 		}
 		k.versions[v] = true
 		counts[v.Service]++
 		if counts[v.Service] == MaxVersionsPerService+1 {
-			k.fault(field, "service %q has more than %d versions; remove old ones", v.Service, MaxVersionsPerService)
+			k.faultf(field, "service %q has more than %d versions; remove old ones", v.Service, MaxVersionsPerService)
 		}
 	}
 }
@@ -86,31 +86,31 @@
 	seen := make(map[VersionName]bool, len(s.Weights))
 	for _, w := range s.Weights {
 		if seen[w.Version] {
-			k.fault(field, "names version %q twice; remove one", w.Version)
+			k.faultf(field, "names version %q twice; remove one", w.Version)
 		}
 		seen[w.Version] = true
 		if !k.versions[Version{Service: s.Name, Name: w.Version}] {
-			k.fault(field, "version %q does not exist in the service; add it to versions or move its share away first", w.Version)
+			k.faultf(field, "version %q does not exist in the service; add it to versions or move its share away first", w.Version)
 		}
 		if w.Share > FullShare {
-			k.fault(field, "version %q has a share above 100%%; lower it", w.Version)
+			k.faultf(field, "version %q has a share above 100%%; lower it", w.Version)
 			return
 		}
 		sum += w.Share
 	}
 	for _, v := range []VersionName{s.Rollout.Baseline, s.Rollout.Candidate} {
 		if s.Rollout.ID != "" && !k.versions[Version{Service: s.Name, Name: v}] {
-			k.fault(field, "rollout %s needs version %q; keep it until the rollout has ended", s.Rollout.ID, v)
+			k.faultf(field, "rollout %s needs version %q; keep it until the rollout has ended", s.Rollout.ID, v)
 		}
 	}
 	if sum != FullShare {
-		k.fault(field, "shares add up to %g%%; make them 100%%", sum.Percent())
+		k.faultf(field, "shares add up to %g%%; make them 100%%", sum.Percent())
 	}
 }
 
 func (k *checker) checkRoutes() {
 	if len(k.config.Routes) > MaxRoutes {
-		k.fault("routes", "has %d entries; the most is %d", len(k.config.Routes), MaxRoutes)
+		k.faultf("routes", "has %d entries; the most is %d", len(k.config.Routes), MaxRoutes)
 	}
 	type match struct{ host, prefix string }
 	names := make(map[RouteName]bool, len(k.config.Routes))
@@ -119,12 +119,12 @@
 		field := fmt.Sprintf("routes[%s]", r.Name)
 		k.name(field+".name", string(r.Name))
 		if names[r.Name] {
-			k.fault(field, "is given twice; remove one")
+			k.faultf(field, "is given twice; remove one")
 		}
 		names[r.Name] = true
 		m := match{host: r.Host, prefix: r.PathPrefix}
 		if other, ok := matches[m]; ok && other != r.Name {
-			k.fault(field, "has the same host and pathPrefix as route %q; change one", other)
+			k.faultf(field, "has the same host and pathPrefix as route %q; change one", other)
 		}
 		matches[m] = r.Name
 		k.checkRoute(field, r)
@@ -133,19 +133,19 @@
 
 func (k *checker) checkRoute(field string, r Route) {
 	if !k.services[r.Service] {
-		k.fault(field+".service", "service %q does not exist; add it to services or correct the name", r.Service)
+		k.faultf(field+".service", "service %q does not exist; add it to services or correct the name", r.Service)
 	}
 	if !strings.HasPrefix(r.PathPrefix, "/") {
-		k.fault(field+".pathPrefix", "%q does not begin with '/'; begin it with '/'", r.PathPrefix)
+		k.faultf(field+".pathPrefix", "%q does not begin with '/'; begin it with '/'", r.PathPrefix)
 	}
 	if r.Host != strings.ToLower(r.Host) || strings.ContainsAny(r.Host, "/: ") {
-		k.fault(field+".host", "%q is not a plain host; use lower case without port or path", r.Host)
+		k.faultf(field+".host", "%q is not a plain host; use lower case without port or path", r.Host)
 	}
 	if r.Class != ClassLookup && r.Class != ClassCommand {
-		k.fault(field+".class", "is not known; use lookup or command")
+		k.faultf(field+".class", "is not known; use lookup or command")
 	}
 	if r.Timeout <= 0 || r.Timeout > MaxTimeout {
-		k.fault(field+".timeout", "%s is out of range; use more than 0s and at most %s", r.Timeout, MaxTimeout)
+		k.faultf(field+".timeout", "%s is out of range; use more than 0s and at most %s", r.Timeout, MaxTimeout)
 	}
 }
 
@@ -154,11 +154,11 @@
 	for _, p := range k.config.Policies {
 		field := fmt.Sprintf("policies[%s]", p.Service)
 		if seen[p.Service] {
-			k.fault(field, "is given twice; remove one")
+			k.faultf(field, "is given twice; remove one")
 		}
 		seen[p.Service] = true
 		if !k.services[p.Service] {
-			k.fault(field+".service", "service %q does not exist; add it to services or correct the name", p.Service)
+			k.faultf(field+".service", "service %q does not exist; add it to services or correct the name", p.Service)
 		}
 		k.checkPolicy(field, p)
 	}
@@ -168,18 +168,18 @@
 	var last Share
 	for _, s := range p.Stages {
 		if s <= last {
-			k.fault(field+".stages", "do not rise; list shares from small to 100")
+			k.faultf(field+".stages", "do not rise; list shares from small to 100")
 			break
 		}
 		last = s
 	}
 	if last != FullShare {
-		k.fault(field+".stages", "end at %g%%; let them end at 100", last.Percent())
+		k.faultf(field+".stages", "end at %g%%; let them end at 100", last.Percent())
 	}
 	if p.MinDwell <= 0 {
-		k.fault(field+".minDwell", "%s is too short; use more than 0s", p.MinDwell)
+		k.faultf(field+".minDwell", "%s is too short; use more than 0s", p.MinDwell)
 	}
 	if p.ConvergenceAllowance <= 0 {
-		k.fault(field+".convergenceAllowance", "%s is too short; use more than 0s", p.ConvergenceAllowance)
+		k.faultf(field+".convergenceAllowance", "%s is too short; use more than 0s", p.ConvergenceAllowance)
 	}
 }
--- a/config/config_yaml.go
+++ b/config/config_yaml.go
@@ -63,7 +63,7 @@
 func ParseYAML(document []byte, current Config) (Config, error) {
 	if len(document) > MaxDocumentBytes {
 		var found faults.List
-		found.Add("document", "has %d bytes; the most is %d", len(document), MaxDocumentBytes)
+		found.Addf("document", "has %d bytes; the most is %d", len(document), MaxDocumentBytes)
 		return Config{}, found
 	}
 	var wire yamlConfig
@@ -73,8 +73,9 @@
 	}
 	p := yamlParser{current: current}
 	c := p.config(wire)
-	if found := append(p.found, Check(c)...); len(found) > 0 {
-		return Config{}, found
+	p.found = append(p.found, Check(c)...)
+	if len(p.found) > 0 {
+		return Config{}, p.found
 	}
 	return c, nil
 }
@@ -84,8 +85,8 @@
 	found   faults.List
 }
 
-func (p *yamlParser) fault(field, format string, args ...any) {
-	p.found.Add(field, format, args...)
+func (p *yamlParser) faultf(field, format string, args ...any) {
+	p.found.Addf(field, format, args...)
 }
 
 func (p *yamlParser) config(wire yamlConfig) Config {
@@ -119,7 +120,7 @@
 	}
 	s.Rollout = existing.Rollout
 	if len(s.Weights) > 0 && !slices.Equal(s.Weights, existing.Weights) {
-		p.fault(field, "differ from the shares in force; leave weights out and move traffic with 'lentilferry plan'")
+		p.faultf(field, "differ from the shares in force; leave weights out and move traffic with 'lentilferry plan'")
 	}
 	s.Weights = existing.Weights
 	return s
@@ -127,7 +128,7 @@
 
 func (p *yamlParser) share(field string, percent float64) Share {
 	if math.IsNaN(percent) || percent < 0 || percent > 100 {
-		p.fault(field, "%g is not a share; use 0 to 100 per cent", percent)
+		p.faultf(field, "%g is not a share; use 0 to 100 per cent", percent)
 		return 0
 	}
 	return Share(math.Round(percent * float64(SharePerPercent)))
@@ -136,7 +137,7 @@
 func (p *yamlParser) duration(field, text string) time.Duration {
 	d, err := time.ParseDuration(text)
 	if err != nil {
-		p.fault(field, "%q is not a duration; write it as 2s or 500ms", text)
+		p.faultf(field, "%q is not a duration; write it as 2s or 500ms", text)
 		return time.Second
 	}
 	return d
--- a/control/controller.go
+++ b/control/controller.go
@@ -189,7 +189,7 @@
 	for _, z := range c.d.Evidence.Gather(ctx, r.ID) {
 		if z.Reached {
 			s.heard[z.Zone] = c.d.Now()
-			s.detector.Observe(z.Zone, z.Reports)
+			s.detector.Observe(c.d.Now(), z.Zone, z.Reports)
 		}
 		if c.d.Now().Sub(s.heard[z.Zone]) > _evidenceLifetime && !contains(fleet.LeftOut, z.Zone) {
 			in.StaleZones = append(in.StaleZones, z.Zone)
--- a/control/operations.go
+++ b/control/operations.go
@@ -183,7 +183,7 @@
 
 // change makes one transition of a rollout, and makes it anew when another
 // write came first.
-func (o *Operations) change(ctx context.Context, w Word, make transition) (rollout.Rollout, error) {
+func (o *Operations) change(ctx context.Context, w Word, move transition) (rollout.Rollout, error) {
 	service := serviceOf(w.ID)
 	for range _maxTries {
 		last, err := o.store.load(ctx, service)
@@ -197,7 +197,7 @@
 			return last.rollout, nil
 		}
 		r := last.rollout
-		if err := make(ctx, o.d.Now(), &r); err != nil {
+		if err := move(ctx, o.d.Now(), &r); err != nil {
 			return last.rollout, err
 		}
 		saved, err := o.store.save(ctx, r, last.version)
--- a/evidence/detector.go
+++ b/evidence/detector.go
@@ -13,6 +13,8 @@
 	// _falseAlarm is the probability of a false alarm that the threshold of
 	// one test is set for.
 	_falseAlarm = 1e-4
+	// _window is the least time whose calls are tested together.
+	_window = time.Second
 	// _slowQuantile and _slowFactor set the latency above which a call is
 	// slow: that many times the quantile of the baseline, and _slowMargin.
 	_slowQuantile = 0.9
@@ -58,7 +60,7 @@
 type stream struct {
 	failures sequentialTest
 	slowness sequentialTest
-	// pending holds calls until both versions have some.
+	// pending holds calls until the window is over and both versions have some.
 	pendingCandidate Tally
 	pendingBaseline  Tally
 	// candidate and baseline hold all calls so far.
@@ -68,8 +70,8 @@
 	byNode map[membership.NodeID]Tally
 	// slow is the latency above which a call is slow; 0 until it is known.
 	slow time.Duration
-	// baselineSlow counts the baseline's calls tested for slowness.
-	baselineSlow sample
+	// tested is when the last window ended.
+	tested time.Time
 }
 
 // NewDetector returns a detector that has seen nothing.
@@ -84,7 +86,7 @@
 
 // Observe takes in a zone's reports. A report that was seen before, or is
 // older than one seen, counts for nothing.
-func (d *Detector) Observe(zone membership.Zone, reports []Report) {
+func (d *Detector) Observe(now time.Time, zone membership.Zone, reports []Report) {
 	fresh := make(map[streamKey]bool)
 	for _, r := range reports {
 		who := reporter{node: r.From, incarnation: r.Incarnation}
@@ -96,8 +98,12 @@
 		d.take(zone, r, known, fresh)
 	}
 	for key := range fresh {
-		d.streams[key].test()
-		d.judge(key, d.streams[key])
+		s := d.streams[key]
+		if now.Sub(s.tested) >= _window {
+			s.tested = now
+			s.test()
+			d.judge(key, s)
+		}
 	}
 }
 
@@ -133,7 +139,11 @@
 func (d *Detector) stream(key streamKey) *stream {
 	s, ok := d.streams[key]
 	if !ok {
-		s = &stream{byNode: make(map[membership.NodeID]Tally)}
+		s = &stream{
+			failures: sequentialTest{most: _mostFailing},
+			slowness: sequentialTest{most: _mostSlow},
+			byNode:   make(map[membership.NodeID]Tally),
+		}
 		d.streams[key] = s
 	}
 	return s
@@ -220,24 +230,22 @@
 	} else {
 		s.failures.compare(failed, sample{calls: baseline.Calls, bad: baseline.Failures})
 	}
-	s.testSlowness(candidate, baseline, alone)
+	if !alone {
+		s.testSlowness(candidate, baseline)
+	}
 }
 
-func (s *stream) testSlowness(candidate, baseline Tally, alone bool) {
+func (s *stream) testSlowness(candidate, baseline Tally) {
 	if s.slow == 0 && s.baseline.Calls >= _slowAfterCalls {
 		s.slow = time.Duration(float64(s.baseline.Latency.Quantile(_slowQuantile))*_slowFactor) + _slowMargin
 	}
 	if s.slow == 0 || s.candidate.Calls-candidate.Calls < _coldCalls {
 		return
 	}
-	slow := sample{calls: candidate.Calls, bad: candidate.Latency.Above(s.slow)}
-	if alone {
-		s.slowness.against(slow, pastRate(s.baselineSlow))
-		return
-	}
-	reference := sample{calls: baseline.Calls, bad: baseline.Latency.Above(s.slow)}
-	s.baselineSlow = s.baselineSlow.plus(reference)
-	s.slowness.compare(slow, reference)
+	s.slowness.compare(
+		sample{calls: candidate.Calls, bad: candidate.Latency.Above(s.slow)},
+		sample{calls: baseline.Calls, bad: baseline.Latency.Above(s.slow)},
+	)
 }
 
 // pastRate returns the rate of bad calls, never quite 0.
--- a/evidence/test.go
+++ b/evidence/test.go
@@ -9,17 +9,19 @@
 	bad uint64
 }
 
-func (s sample) plus(other sample) sample {
-	return sample{calls: s.calls + other.calls, bad: s.bad + other.bad}
-}
-
 const (
 	// _toleratedRatio is how many times the baseline's rate of bad calls the
 	// candidate may have.
 	_toleratedRatio = 1.5
-	// _toleratedDrift replaces _toleratedRatio once there is no concurrent
+	// _toleratedDrift replaces _toleratedRatio where there is no concurrent
 	// baseline to compare with.
 	_toleratedDrift = 3
+	// _mostFailing bounds what one window of failures adds, so that a verdict
+	// takes two windows at least.
+	_mostFailing = 7
+	// _mostSlow bounds what one window of slow calls adds, so that a verdict
+	// takes five windows at least.
+	_mostSlow = 2.5
 )
 
 // _alternatives are the ratios of the rates that the test looks for.
@@ -31,7 +33,13 @@
 // multiplies likelihood ratios for several alternatives, each a CUSUM that
 // does not fall below its start, so that a fault that begins late is found
 // as fast as an early one (Page, 1954).
+//
+// Bad calls come in bursts that have nothing to do with the version, such as a
+// pause of a whole machine. So one window, however bad, adds no more than
+// most, and a verdict takes several.
 type sequentialTest struct {
+	// most is the largest logarithm that one window adds; above zero.
+	most float64
 	logs [len(_alternatives)]float64
 }
 
@@ -66,7 +74,7 @@
 }
 
 func (t *sequentialTest) add(i int, gain float64) {
-	t.logs[i] = max(0, t.logs[i]+gain)
+	t.logs[i] = max(0, t.logs[i]+min(gain, t.most))
 }
 
 // evidence returns the logarithm of the mean likelihood ratio.
--- a/lentilferryd/main.go
+++ b/lentilferryd/main.go
@@ -87,7 +87,8 @@
 }
 
 func serve(s settings.Settings) error {
-	listeners, err := listen(s)
+	ctx := context.Background()
+	listeners, err := listen(ctx, s)
 	if err != nil {
 		return err
 	}
@@ -119,10 +120,10 @@
 		n.Stop()
 	}()
 	klog.InfoS("Listening", "node", s.ID, "calls", s.CallAddress, "peers", s.PeerAddress, "admin", s.AdminAddress)
-	return n.Run(context.Background())
+	return n.Run(ctx)
 }
 
-func listen(s settings.Settings) (node.Listeners, error) {
+func listen(ctx context.Context, s settings.Settings) (node.Listeners, error) {
 	var l node.Listeners
 	for _, socket := range []struct {
 		name    string
@@ -133,7 +134,7 @@
 		{"peerAddress", s.PeerAddress, &l.Peers},
 		{"adminAddress", s.AdminAddress, &l.Admin},
 	} {
-		listener, err := net.Listen("tcp", socket.address.String())
+		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", socket.address.String())
 		if err != nil {
 			return node.Listeners{}, errors.Wrapf(err, "%s: can't listen; free the port or choose another", socket.name)
 		}
--- a/membership/table.go
+++ b/membership/table.go
@@ -387,8 +387,9 @@
 
 // Members returns all known members, sorted by zone and ID.
 func (t *Table) Members() []Member {
-	var members []Member
-	for _, zone := range t.zoneNames() {
+	names := t.zoneNames()
+	members := make([]Member, 0, len(names))
+	for _, zone := range names {
 		members = append(members, t.Zone(zone)...)
 	}
 	return members
--- a/node/relay.go
+++ b/node/relay.go
@@ -150,8 +150,9 @@
 }
 
 func (n *Node) rosterPeers() []netip.AddrPort {
-	var peers []netip.AddrPort
-	for _, m := range membership.Chosen(n.table.Zone(n.d.Zone), _roleRelay, _rosterSize) {
+	chosen := membership.Chosen(n.table.Zone(n.d.Zone), _roleRelay, _rosterSize)
+	peers := make([]netip.AddrPort, 0, len(chosen))
+	for _, m := range chosen {
 		peers = append(peers, m.Peer)
 	}
 	slices.SortFunc(peers, netip.AddrPort.Compare)
--- a/node/steps.go
+++ b/node/steps.go
@@ -183,7 +183,7 @@
 			detector = evidence.NewDetector(mark.Baseline, mark.Candidate)
 			n.detectors[mark.ID] = detector
 		}
-		detector.Observe(n.d.Zone, n.collector.Reports(mark.ID))
+		detector.Observe(n.d.Now(), n.d.Zone, n.collector.Reports(mark.ID))
 		if verdict := detector.Verdict(); verdict.Bad {
 			n.quarantine(service, verdict)
 		}
--- a/operator/server.go
+++ b/operator/server.go
@@ -72,10 +72,10 @@
 func named(operator, operation string) error {
 	var missing faults.List
 	if operator == "" {
-		missing.Add("operator", "is empty; say who you are")
+		missing.Addf("operator", "is empty; say who you are")
 	}
 	if operation == "" {
-		missing.Add("operation", "is empty; give the request an identity of its own")
+		missing.Addf("operation", "is empty; give the request an identity of its own")
 	}
 	if len(missing) > 0 {
 		return fail(missing)
--- a/quickstart/callers.go
+++ b/quickstart/callers.go
@@ -101,7 +101,7 @@
 	}
 	one := newTally()
 	defer func() { c.count(id, method, one) }()
-	request, err := http.NewRequest(method, target+path, strings.NewReader(id))
+	request, err := http.NewRequestWithContext(context.Background(), method, target+path, strings.NewReader(id))
 	if err != nil {
 		one.unknown = 1
 		return
@@ -149,7 +149,7 @@
 func (c *callers) shares() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var parts []string
+	parts := make([]string, 0, len(c.sinceMark.byVersion))
 	for version, n := range c.sinceMark.byVersion {
 		parts = append(parts, fmt.Sprintf("%s %.1f%%", version, 100*float64(n)/float64(c.sinceMark.answered)))
 	}
--- a/quickstart/main.go
+++ b/quickstart/main.go
@@ -67,7 +67,7 @@
 		klog.SetOutput(io.Discard)
 		return klog.Flush, nil
 	}
-	file, err := os.Create(name)
+	file, err := os.Create(name) //nolint:gosec // The user names the file.
 	if err != nil {
 		return nil, errors.Wrap(err, "--log")
 	}
--- a/quickstart/mesh.go
+++ b/quickstart/mesh.go
@@ -95,7 +95,7 @@
 
 // serve serves a stand-in on a free loopback port.
 func (m *mesh) serve(ctx context.Context, handler http.Handler) (netip.AddrPort, error) {
-	listener, err := listen()
+	listener, err := listen(ctx)
 	if err != nil {
 		return netip.AddrPort{}, err
 	}
@@ -108,8 +108,8 @@
 	return addressOf(listener), nil
 }
 
-func listen() (net.Listener, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func listen(ctx context.Context) (net.Listener, error) {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
 	return listener, errors.Wrap(err, "listen on loopback")
 }
 
@@ -126,7 +126,7 @@
 	if err != nil {
 		return err
 	}
-	listeners, err := listeners()
+	listeners, err := listeners(ctx)
 	if err != nil {
 		return err
 	}
@@ -170,10 +170,10 @@
 	return nil
 }
 
-func listeners() (node.Listeners, error) {
+func listeners(ctx context.Context) (node.Listeners, error) {
 	var l node.Listeners
 	for _, into := range []*net.Listener{&l.Calls, &l.Peers, &l.Admin} {
-		listener, err := listen()
+		listener, err := listen(ctx)
 		if err != nil {
 			return node.Listeners{}, err
 		}
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -131,6 +131,10 @@
 	return nil
 }
 
+// _controlShare stays with the baseline until the last stage was observed, so
+// that the candidate is always compared with the same moment's calls.
+const _controlShare config.Share = 200
+
 // stagesFor spreads the policy's stages between the two shares over the time to
 // the deadline.
 func stagesFor(now time.Time, intent Intent, from config.Share, policy config.Policy) ([]Stage, error) {
@@ -140,14 +144,16 @@
 			shares = append(shares, s)
 		}
 	}
-	shares = append(shares, intent.Share)
+	if last := min(intent.Share, config.FullShare-_controlShare); len(shares) == 0 || last > shares[len(shares)-1] {
+		shares = append(shares, last)
+	}
 	count := time.Duration(len(shares))
 	available := intent.Deadline.Sub(now)
-	shortest := count * (policy.MinDwell + policy.ConvergenceAllowance)
+	shortest := count*(policy.MinDwell+policy.ConvergenceAllowance) + policy.ConvergenceAllowance
 	if available < shortest {
 		earliest := now.Add(shortest).Add(time.Second).Truncate(time.Second)
 		return nil, errors.Wrapf(ErrInfeasible,
-			"deadline: %d stages of at least %s, and %s for each to be in force, need %s; the earliest deadline is %s",
+			"deadline: %d stages of at least %s, and %s for each to be in force, and the last step as long, need %s; the earliest deadline is %s",
 			count, policy.MinDwell, policy.ConvergenceAllowance, shortest, earliest.Format(time.RFC3339))
 	}
 	dwell := time.Duration(float64(available)*_dwellPart)/count - policy.ConvergenceAllowance
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -112,7 +112,7 @@
 	Candidate config.VersionName
 	// FromShare is the candidate's share before the rollout.
 	FromShare config.Share
-	// TargetShare is the last stage's share, above FromShare.
+	// TargetShare is the share at the end, above FromShare.
 	TargetShare config.Share
 	Deadline    time.Time
 	PlannedAt   time.Time
@@ -122,7 +122,7 @@
 	FinishAt time.Time
 	// BaseRevision is the revision that the plan was computed from.
 	BaseRevision uint64
-	// Stages rise and end at TargetShare; never empty.
+	// Stages rise to TargetShare, or to just under it; never empty.
 	Stages   []Stage
 	Capacity []ZoneCapacity
 	State    State
@@ -131,6 +131,9 @@
 	// StageRevision is the revision that carries the stage's shares, 0 before
 	// they are committed.
 	StageRevision uint64
+	// FinishRevision is the revision that carries TargetShare, 0 before it is
+	// committed.
+	FinishRevision uint64
 	// StageInForceAt is zero until the stage is in force everywhere.
 	StageInForceAt time.Time
 	// StageStartCalls is CandidateCalls at StageInForceAt.
@@ -244,6 +247,7 @@
 	r.Reason = reason
 	r.LastOperation = operation
 	r.StageRevision = 0
+	r.FinishRevision = 0
 	r.StageInForceAt = time.Time{}
 	r.WaitingFor = ""
 	return nil
@@ -251,10 +255,16 @@
 
 // Share returns the share that the candidate is to have now.
 func (r *Rollout) Share() config.Share {
-	if r.State != Running {
+	switch {
+	case r.State == Complete, r.State == Running && r.FinishRevision != 0:
+		return r.TargetShare
+	case r.State == Running:
+		return r.Stages[r.Stage].Share
+	case r.State == RollingBack, r.State == RolledBack:
 		return 0
+	default:
+		return r.FromShare
 	}
-	return r.Stages[r.Stage].Share
 }
 
 // Summary returns what is kept of the rollout after its end.
--- a/rollout/step.go
+++ b/rollout/step.go
@@ -81,8 +81,11 @@
 	if r.StageRevision == 0 {
 		return Decision{Kind: Commit}, nil
 	}
-	if in.InForce < r.StageRevision {
-		return r.wait("revision %d to be in force; held back by %s", r.StageRevision, in.HeldBackBy)
+	if in.InForce < max(r.StageRevision, r.FinishRevision) {
+		return r.wait("revision %d to be in force; held back by %s", max(r.StageRevision, r.FinishRevision), in.HeldBackBy)
+	}
+	if r.FinishRevision != 0 {
+		return Decision{Kind: Save}, r.finish(now)
 	}
 	if r.StageInForceAt.IsZero() {
 		r.StageInForceAt = now
@@ -115,6 +118,17 @@
 	return Decision{Kind: Save}, nil
 }
 
+func (r *Rollout) finish(now time.Time) error {
+	late := ""
+	if now.After(r.Deadline) {
+		late = fmt.Sprintf(", %s after the deadline", now.Sub(r.Deadline).Round(time.Second))
+	}
+	r.WaitingFor = ""
+	r.LastOperation = r.operation("finish")
+	r.Reason = fmt.Sprintf("%s has %g%%%s", r.Candidate, r.TargetShare.Percent(), late)
+	return r.fire(now, _eventFinish, r.Reason)
+}
+
 // dwell is the stage's planned time, cut down to the policy's least when the
 // rollout is late.
 func (r *Rollout) dwell(now time.Time, policy config.Policy) time.Duration {
@@ -195,19 +209,13 @@
 func (r *Rollout) Committed(now time.Time, number uint64) error {
 	switch {
 	case r.State == Running && r.StageRevision != 0:
-		r.WaitingFor = ""
-		r.LastOperation = r.operation("finish")
-		late := ""
-		if now.After(r.Deadline) {
-			late = fmt.Sprintf(", %s after the deadline", now.Sub(r.Deadline).Round(time.Second))
-		}
-		r.Reason = fmt.Sprintf("%s has %g%%%s", r.Candidate, r.TargetShare.Percent(), late)
-		return r.fire(now, _eventFinish, r.Reason)
+		r.FinishRevision = number
 	case r.State == Running || r.State == RollingBack:
 		r.StageRevision = number
-		r.log(now, fmt.Sprintf("%g%% committed as revision %d", r.Share().Percent(), number))
-		return nil
 	default:
 		return errors.Wrapf(ErrState, "rollout %s is %s", r.ID, r.State)
 	}
+	r.WaitingFor = ""
+	r.log(now, fmt.Sprintf("%g%% committed as revision %d", r.Share().Percent(), number))
+	return nil
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -139,7 +139,7 @@
 		}
 		flag := strings.ReplaceAll(strings.ToLower(rest), "_", "-")
 		if _, ok := known[flag]; !ok && flag != "config" && flag != "print-settings" {
-			found.Add(name, "is not a setting; remove it or correct the name")
+			found.Addf(name, "is not a setting; remove it or correct the name")
 		}
 	}
 	return found
@@ -217,19 +217,19 @@
 	return strings.TrimSpace(*r.values[flag])
 }
 
-func (r *reader) fault(flag, format string, args ...any) {
-	r.found.Add(yamlName(flag), format, args...)
+func (r *reader) faultf(flag, format string, args ...any) {
+	r.found.Addf(yamlName(flag), format, args...)
 }
 
 func (r *reader) name(flag string) string {
 	text := r.text(flag)
 	switch {
 	case text == "":
-		r.fault(flag, "is empty; set it with --%s, %s_%s or in the file", flag, EnvPrefix, strings.ToUpper(strings.ReplaceAll(flag, "-", "_")))
+		r.faultf(flag, "is empty; set it with --%s, %s_%s or in the file", flag, EnvPrefix, strings.ToUpper(strings.ReplaceAll(flag, "-", "_")))
 	case len(text) > config.MaxNameBytes:
-		r.fault(flag, "has %d bytes; shorten it to %d or fewer", len(text), config.MaxNameBytes)
+		r.faultf(flag, "has %d bytes; shorten it to %d or fewer", len(text), config.MaxNameBytes)
 	case strings.ContainsAny(text, "/ \t\r\n\""):
-		r.fault(flag, "%q has a character that names may not have; use letters, digits, '-', '_' and '.'", text)
+		r.faultf(flag, "%q has a character that names may not have; use letters, digits, '-', '_' and '.'", text)
 	}
 	return text
 }
@@ -241,11 +241,11 @@
 func (r *reader) parseAddress(flag, text string) netip.AddrPort {
 	address, err := netip.ParseAddrPort(text)
 	if err != nil {
-		r.fault(flag, "%q is not an IP and port; write it as 10.0.0.7:7901", text)
+		r.faultf(flag, "%q is not an IP and port; write it as 10.0.0.7:7901", text)
 		return netip.AddrPort{}
 	}
 	if address.Port() == 0 {
-		r.fault(flag, "%q has port 0; give a port from 1 to 65535", text)
+		r.faultf(flag, "%q has port 0; give a port from 1 to 65535", text)
 	}
 	return address
 }
@@ -264,7 +264,7 @@
 	text := r.text(flag)
 	parsed, err := url.Parse(text)
 	if err != nil || parsed.Scheme != "http" && parsed.Scheme != "https" || parsed.Host == "" {
-		r.fault(flag, "%q is not a URL; write it as http://10.0.0.1:7900", text)
+		r.faultf(flag, "%q is not a URL; write it as http://10.0.0.1:7900", text)
 	}
 	return parsed
 }
@@ -274,10 +274,10 @@
 	d, err := time.ParseDuration(text)
 	switch {
 	case err != nil:
-		r.fault(flag, "%q is not a duration; write it as 2s or 500ms", text)
+		r.faultf(flag, "%q is not a duration; write it as 2s or 500ms", text)
 		return time.Second
 	case d < time.Millisecond:
-		r.fault(flag, "%s is too short; use 1ms or more", text)
+		r.faultf(flag, "%s is too short; use 1ms or more", text)
 		return time.Second
 	}
 	return d
@@ -287,7 +287,7 @@
 	text := r.text(flag)
 	n, err := strconv.Atoi(text)
 	if err != nil || n < least || n > most {
-		r.fault(flag, "%q is not a number from %d to %d", text, least, most)
+		r.faultf(flag, "%q is not a number from %d to %d", text, least, most)
 		return least
 	}
 	return n
@@ -304,7 +304,7 @@
 	if r.text("service") == "" {
 		for _, flag := range []string{"version", "upstream-address"} {
 			if r.text(flag) != "" {
-				r.fault(flag, "is set without service; set service too, or leave both out for a node without an upstream")
+				r.faultf(flag, "is set without service; set service too, or leave both out for a node without an upstream")
 			}
 		}
 		return u
@@ -314,7 +314,7 @@
 	u.Address = r.address("upstream-address")
 	u.HealthPath = r.text("upstream-health-path")
 	if u.HealthPath != "" && !strings.HasPrefix(u.HealthPath, "/") {
-		r.fault("upstream-health-path", "%q does not begin with '/'; begin it with '/'", u.HealthPath)
+		r.faultf("upstream-health-path", "%q does not begin with '/'; begin it with '/'", u.HealthPath)
 	}
 	return u
 }
@@ -335,11 +335,11 @@
 			continue
 		}
 		if other, ok := seen[socket.address]; ok {
-			r.fault(socket.flag, "%s is %s too; give each an address of its own", socket.address, yamlName(other))
+			r.faultf(socket.flag, "%s is %s too; give each an address of its own", socket.address, yamlName(other))
 		}
 		seen[socket.address] = socket.flag
 	}
 	if s.PeerAddress.IsValid() && s.PeerAddress.Addr().IsUnspecified() {
-		r.fault("peer-address", "%s can't be reached by other nodes; give this VM's own IP", s.PeerAddress)
+		r.faultf("peer-address", "%s can't be reached by other nodes; give this VM's own IP", s.PeerAddress)
 	}
 }
--- a/settings/settings_file.go
+++ b/settings/settings_file.go
@@ -39,12 +39,12 @@
 		name := fmt.Sprint(entry.Key)
 		flag, ok := flags[name]
 		if !ok {
-			p.found.Add(name, "is not a setting; remove it, or use one of %s", strings.Join(sortedKeys(flags), ", "))
+			p.found.Addf(name, "is not a setting; remove it, or use one of %s", strings.Join(sortedKeys(flags), ", "))
 			continue
 		}
 		text, ok := scalar(entry.Value)
 		if !ok {
-			p.found.Add(name, "has a nested value; give a plain one")
+			p.found.Addf(name, "has a nested value; give a plain one")
 			continue
 		}
 		if err := set(flag, text); err != nil {
--- a/standin/main.go
+++ b/standin/main.go
@@ -86,7 +86,7 @@
 }
 
 func serve(ctx context.Context, address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address)
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
