--- a/call/body.go
+++ b/call/body.go
@@ -15,6 +15,7 @@
 var (
 	// errWriteAnswer marks a failure of the answer's reader.
 	errWriteAnswer = errors.New("the reader of the answer went away")
+	errBodyDropped = errors.New("the request's body is too long to be sent again")
 	errBodyClosed  = errors.New("the attempt that reads this body has ended")
 )
 
@@ -22,9 +23,14 @@
 // body. It keeps what was read until that is over _maxReplayBytes.
 type replayBody struct {
 	source io.Reader
+	// reading is held while the source is read, which can take as long as the
+	// caller likes. It is taken before mu.
+	reading sync.Mutex
 
 	mu sync.Mutex
-	// kept is what was read from the source so far; nil once it was dropped.
+	// read is how much was read from the source.
+	read int
+	// kept is what was read from the source; nil once it was dropped.
 	kept    []byte
 	dropped bool
 	// end is the error with which the source ended.
@@ -50,7 +56,7 @@
 
 type attemptBody struct {
 	body *replayBody
-	// offset is how much of the kept bytes this attempt has read.
+	// offset is how much this attempt has read.
 	offset int
 	closed bool
 }
@@ -59,40 +65,66 @@
 
 // Read reads what earlier attempts left and then the source.
 func (a *attemptBody) Read(p []byte) (int, error) {
+	if n, err, done := a.readKept(p); done {
+		return n, err
+	}
+	b := a.body
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	// An earlier attempt may have read on meanwhile.
+	if n, err, done := a.readKept(p); done {
+		return n, err
+	}
+	n, err := b.source.Read(p)
+	return a.took(p[:n], err)
+}
+
+// readKept reads without the source; done is false when that is not enough.
+func (a *attemptBody) readKept(p []byte) (n int, err error, done bool) { //nolint:revive // The error is one of three results of equal rank.
 	b := a.body
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if a.closed {
-		return 0, errBodyClosed
-	}
-	if !b.dropped && a.offset < len(b.kept) {
-		n := copy(p, b.kept[a.offset:])
+	switch {
+	case a.closed:
+		return 0, errBodyClosed, true
+	case a.offset < b.read && b.dropped:
+		return 0, errBodyDropped, true
+	case a.offset < b.read:
+		n = copy(p, b.kept[a.offset:])
 		a.offset += n
-		return n, nil
-	}
-	if b.end != nil {
-		return 0, b.end
+		return n, nil, true
+	case b.end != nil:
+		return 0, b.end, true
+	default:
+		return 0, nil, false
 	}
-	n, err := b.source.Read(p)
-	b.end = err
-	b.keep(p[:n])
-	a.offset += n
-	return n, err
 }
 
-func (b *replayBody) keep(p []byte) {
-	if b.dropped {
-		return
-	}
-	if len(b.kept)+len(p) > _maxReplayBytes {
+// took keeps what was read from the source, also for an attempt that was
+// closed meanwhile: the next one reads it.
+func (a *attemptBody) took(p []byte, err error) (int, error) {
+	b := a.body
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.read += len(p)
+	b.end = err
+	switch {
+	case b.dropped:
+	case b.read > _maxReplayBytes:
 		b.dropped = true
 		b.kept = nil
-		return
+	default:
+		b.kept = append(b.kept, p...)
 	}
-	b.kept = append(b.kept, p...)
+	if a.closed {
+		return 0, errBodyClosed
+	}
+	a.offset += len(p)
+	return len(p), err
 }
 
-// Close ends the attempt's use of the body; the source stays open.
+// Close ends the attempt's use of the body; the source stays open. It does
+// not wait for a read of the source.
 func (a *attemptBody) Close() error {
 	a.body.mu.Lock()
 	defer a.body.mu.Unlock()
@@ -114,6 +146,15 @@
 	return r.ContentLength < 0 || r.ContentLength > _maxDrainBytes
 }
 
+// limitReading bounds how long a caller may take to send its request. The
+// server lifts the limit before the connection's next request.
+func limitReading(w http.ResponseWriter, r *http.Request, deadline time.Time) {
+	if r.ProtoMajor == 1 && r.ContentLength != 0 {
+		// A connection that takes no deadline goes without.
+		_ = http.NewResponseController(w).SetReadDeadline(deadline.Add(_drainTimeout))
+	}
+}
+
 // drain reads what is left of a request in full duplex. Without it the server
 // may read the connection twice at once when a handler ends before the end of
 // the request's body was seen.
@@ -122,7 +163,7 @@
 		return
 	}
 	controller := http.NewResponseController(w)
-	if controller.SetReadDeadline(time.Now().Add(_drainTimeout)) != nil {
+	if controller.Flush() != nil || controller.SetReadDeadline(time.Now().Add(_drainTimeout)) != nil {
 		return
 	}
 	_, err := io.CopyN(io.Discard, r.Body, _maxDrainBytes)
--- /dev/null
+++ b/call/body_test.go
@@ -0,0 +1,66 @@
+package call
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Any number of attempts, each closed anywhere, read the same body.
+func TestReplayBody(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(0, 3*_maxReplayBytes/2).Draw(t, "size")
+		text := strings.Repeat("0123456789abcdef", size/16+1)[:size]
+		b := newReplayBody(strings.NewReader(text))
+		for range rapid.IntRange(0, 4).Draw(t, "attempts") {
+			a := b.attempt()
+			part := rapid.IntRange(0, size).Draw(t, "part")
+			got, err := io.ReadAll(io.LimitReader(a, int64(part)))
+			if errors.Is(err, errBodyDropped) {
+				assert.Assert(t, !b.replayable())
+				return
+			}
+			assert.NilError(t, err)
+			assert.Assert(t, string(got) == text[:len(got)])
+			assert.NilError(t, a.Close())
+			_, err = a.Read(make([]byte, 1))
+			assert.Assert(t, errors.Is(err, errBodyClosed))
+		}
+		if !b.replayable() {
+			return
+		}
+		got, err := io.ReadAll(b.attempt())
+		assert.NilError(t, err)
+		assert.Assert(t, string(got) == text)
+	})
+}
+
+// An attempt ends while the caller is silent, and what the caller sends then
+// is read by the next one.
+func TestCloseDoesNotWaitForTheCaller(t *testing.T) {
+	source, sender := io.Pipe()
+	b := newReplayBody(source)
+	first := b.attempt()
+	ended := make(chan error, 1)
+	reading := make(chan struct{})
+	go func() {
+		close(reading)
+		_, err := first.Read(make([]byte, 8))
+		ended <- err
+	}()
+	<-reading
+	assert.NilError(t, first.Close())
+	second := b.attempt()
+	go func() {
+		_, _ = sender.Write([]byte("late"))
+		_ = sender.Close()
+	}()
+	got, err := io.ReadAll(second)
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), "late")
+	assert.Assert(t, errors.Is(<-ended, errBodyClosed))
+}
--- /dev/null
+++ b/call/faults_test.go
@@ -0,0 +1,277 @@
+package call_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lentilferry.example/lentilferry/call"
+)
+
+// _short is the deadline where an upstream freezes.
+const _short = 300 * time.Millisecond
+
+// _long is the deadline where it must not matter.
+const _long = 20 * time.Second
+
+type script func(s *scripted, conn net.Conn, r *bufio.Reader)
+
+// _steps are the places in a call at which an upstream goes wrong. Each leads
+// up to the fault.
+var _steps = []struct {
+	name string
+	lead script
+	// begun is set where the answer's headers may have reached the caller.
+	begun bool
+}{
+	{name: "connected", lead: func(*scripted, net.Conn, *bufio.Reader) {}},
+	{name: "headers-sent", lead: func(s *scripted, _ net.Conn, r *bufio.Reader) { s.readHeaders(r) }},
+	{name: "body-half-sent", lead: func(s *scripted, _ net.Conn, r *bufio.Reader) {
+		if request := s.readHeaders(r); request != nil {
+			_, _ = io.CopyN(io.Discard, request.Body, 10)
+		}
+	}},
+	{name: "sent", lead: func(s *scripted, _ net.Conn, r *bufio.Reader) { s.readAll(r) }},
+	{name: "answer-begun", lead: func(s *scripted, conn net.Conn, r *bufio.Reader) {
+		s.readAll(r)
+		say(conn, "HTTP/1.1 200 OK\r\nContent-Le")
+	}},
+	{name: "answer-headers", lead: func(s *scripted, conn net.Conn, r *bufio.Reader) {
+		s.readAll(r)
+		say(conn, "HTTP/1.1 200 OK\r\nContent-Length: 40000\r\n\r\n")
+	}, begun: true},
+	{name: "answer-half", lead: func(s *scripted, conn net.Conn, r *bufio.Reader) {
+		s.readAll(r)
+		say(conn, "HTTP/1.1 200 OK\r\nContent-Length: 40000\r\n\r\n"+strings.Repeat("x", 20000))
+	}, begun: true},
+	{name: "chunked-half", lead: func(s *scripted, conn net.Conn, r *bufio.Reader) {
+		s.readAll(r)
+		say(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n")
+	}, begun: true},
+}
+
+// TestFaultMatrix brings about each fault at each step of a call, for a call
+// that may be sent again and for one that may not.
+func TestFaultMatrix(t *testing.T) {
+	faults := []struct {
+		name     string
+		fault    script
+		deadline time.Duration
+	}{
+		{name: "close", fault: func(*scripted, net.Conn, *bufio.Reader) {}, deadline: _long},
+		{name: "reset", fault: func(_ *scripted, conn net.Conn, _ *bufio.Reader) {
+			if tcp, ok := conn.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0)
+			}
+		}, deadline: _long},
+		{name: "freeze", fault: func(s *scripted, _ net.Conn, _ *bufio.Reader) { s.freeze() }, deadline: _short},
+		{name: "garbage", fault: func(_ *scripted, conn net.Conn, _ *bufio.Reader) { say(conn, "\x00\x01garbage\r\n\r\n") }, deadline: _long},
+	}
+	for _, step := range _steps {
+		for _, f := range faults {
+			for _, method := range []string{http.MethodGet, http.MethodPost} {
+				t.Run(step.name+"/"+f.name+"/"+method, func(t *testing.T) {
+					t.Parallel()
+					upstream := newScripted(t, func(s *scripted, conn net.Conn, r *bufio.Reader) {
+						step.lead(s, conn, r)
+						f.fault(s, conn, r)
+					})
+					p := newPath(t, f.deadline, upstream.address)
+					got := send(t, newRequest(t, method, p.url+"/commands", strings.NewReader(strings.Repeat("b", 100))))
+					// At "connected" the fault may come before the first byte
+					// went out, which makes the call provably not run.
+					notRun := step.name == "connected" && got.outcome == call.NotRun.String() && upstream.calls.Load() == 0
+					broken := step.begun && got.broken
+					assert.Assert(t, notRun || broken || got.outcome == call.Unknown.String(),
+						"status %d, outcome %q, reason %q", got.status, got.outcome, got.reason)
+					assert.Assert(t, upstream.calls.Load() <= 1, "the call was sent %d times", upstream.calls.Load())
+				})
+			}
+		}
+	}
+}
+
+func TestNothingListens(t *testing.T) {
+	p := newPath(t, _long, closedPort(t))
+	got := send(t, newRequest(t, http.MethodPost, p.url+"/commands", strings.NewReader("b")))
+	assert.Equal(t, got.outcome, call.NotRun.String())
+	assert.Equal(t, got.reason, string(call.ReasonUnreachable))
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Equal(t, got.header.Get("Retry-After"), "1")
+}
+
+// A refusal is not the end: another upstream takes the call, and a command
+// runs once.
+func TestNotRunIsSentElsewhere(t *testing.T) {
+	runs := make(chan string, 10)
+	good := serveUpstream(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		runs <- string(body)
+		_, _ = w.Write(body)
+	}))
+	p := newPath(t, _long, closedPort(t), good)
+	for range 8 {
+		got := send(t, newRequest(t, http.MethodPost, p.url+"/commands", strings.NewReader("print")))
+		assert.Equal(t, got.status, http.StatusOK, "%s %s", got.outcome, got.reason)
+		assert.Equal(t, got.body, "print")
+		assert.Equal(t, <-runs, "print")
+	}
+	assert.Equal(t, len(runs), 0)
+}
+
+// An unknown outcome of a safe lookup may be sent again; that of a command
+// may not, even where another upstream would answer.
+func TestUnknownIsRepeatedOnlyWhenSafe(t *testing.T) {
+	for _, test := range []struct {
+		name, method, path string
+		repeats            bool
+	}{
+		{"lookup", http.MethodGet, "/slips", true},
+		{"post", http.MethodPost, "/slips", false},
+		{"get on a command route", http.MethodGet, "/commands", false},
+		{"delete", http.MethodDelete, "/slips", false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			bad := newScripted(t, func(s *scripted, _ net.Conn, r *bufio.Reader) { s.readAll(r) })
+			good := serveUpstream(t, echo())
+			p := newPath(t, _long, bad.address, good)
+			unknown := 0
+			for range 40 {
+				got := send(t, newRequest(t, test.method, p.url+test.path, nil))
+				if got.outcome == call.Unknown.String() {
+					unknown++
+				}
+			}
+			assert.Assert(t, bad.calls.Load() > 0)
+			assert.Equal(t, unknown == 0, test.repeats, "%d unknown", unknown)
+			if !test.repeats {
+				assert.Equal(t, int64(unknown), bad.calls.Load())
+			}
+		})
+	}
+}
+
+// Transports send some calls twice by themselves when a connection that was
+// used before breaks. Ours must not.
+func TestTransportDoesNotRepeat(t *testing.T) {
+	for _, test := range []struct{ name, method, key string }{
+		{"get", http.MethodGet, ""},
+		{"post with a key", http.MethodPost, "k-1"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			upstream := newScripted(t, func(s *scripted, conn net.Conn, r *bufio.Reader) {
+				if s.readAll(r) == nil {
+					return
+				}
+				if s.calls.Load() == 1 {
+					say(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+					// The second call on this connection is read and then lost.
+					s.readAll(r)
+				}
+			})
+			p := newPath(t, _long, upstream.address)
+			for i, want := range []string{"", call.Unknown.String()} {
+				request := newRequest(t, test.method, p.url+"/commands", nil)
+				if test.key != "" {
+					request.Header.Set("Idempotency-Key", test.key)
+				}
+				got := send(t, request)
+				assert.Equal(t, got.outcome, want, "call %d: %s", i, got.reason)
+			}
+			assert.Equal(t, upstream.calls.Load(), int64(2))
+		})
+	}
+}
+
+// Over HTTP/1.0, or without a length, a short answer looks whole.
+func TestAnswerWithoutEndIsRefused(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.0 200 OK\r\n\r\nhalf an ans",
+		"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf an ans",
+	} {
+		upstream := newScripted(t, func(s *scripted, conn net.Conn, r *bufio.Reader) {
+			s.readAll(r)
+			say(conn, text)
+		})
+		p := newPath(t, _long, upstream.address)
+		got := send(t, newRequest(t, http.MethodGet, p.url+"/", nil))
+		assert.Equal(t, got.outcome, call.Unknown.String())
+		assert.Equal(t, got.reason, string(call.ReasonUnbounded))
+	}
+}
+
+// The upstream itself can say that it did not run a call.
+func TestUpstreamSaysNotRun(t *testing.T) {
+	shedding := newScripted(t, func(s *scripted, conn net.Conn, r *bufio.Reader) {
+		s.readAll(r)
+		say(conn, "HTTP/1.1 503 Service Unavailable\r\nLentilferry-Outcome: not-run\r\nContent-Length: 0\r\n\r\n")
+	})
+	p := newPath(t, _long, shedding.address)
+	got := send(t, newRequest(t, http.MethodPost, p.url+"/commands", strings.NewReader("b")))
+	assert.Equal(t, got.outcome, call.NotRun.String())
+	assert.Equal(t, got.reason, string(call.ReasonUpstreamRefused))
+}
+
+// An answer that begins before the request was read through reaches the
+// caller, and the connection to it stays in order.
+func TestEarlyAnswer(t *testing.T) {
+	upstream := serveUpstream(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		w.WriteHeader(http.StatusAccepted)
+		_ = http.NewResponseController(w).Flush()
+		_, _ = io.Copy(w, r.Body)
+	}))
+	p := newPath(t, _long, upstream)
+	for _, size := range []int{1, 1000, 300 << 10, 3 << 20} {
+		body := strings.Repeat("z", size)
+		// The reader hides its length: the body is sent in chunks.
+		got := send(t, newRequest(t, http.MethodPost, p.url+"/commands", io.LimitReader(strings.NewReader(body), int64(size))))
+		assert.Equal(t, got.status, http.StatusAccepted)
+		assert.Assert(t, got.body == body, "%d of %d bytes", len(got.body), size)
+	}
+}
+
+// The end of a request may come after its answer. Without the drain the server
+// would read the connection twice at once and panic.
+func TestRequestEndsAfterItsAnswer(t *testing.T) {
+	upstream := newScripted(t, func(s *scripted, conn net.Conn, r *bufio.Reader) {
+		s.readHeaders(r)
+		say(conn, "HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n")
+	})
+	p := newPath(t, _long, upstream.address)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(p.url, "http://"))
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(_long)))
+	r := bufio.NewReader(conn)
+	for range 3 {
+		say(conn, "POST /commands HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n")
+		response, err := http.ReadResponse(r, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusNoContent)
+		say(conn, "0\r\n\r\n")
+	}
+}
+
+// A call without a body reaches the upstream as one.
+func TestNoBodyStaysNoBody(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodDelete} {
+		raw := make(chan *http.Request, 1)
+		upstream := newScripted(t, func(s *scripted, conn net.Conn, r *bufio.Reader) {
+			raw <- s.readHeaders(r)
+			say(conn, "HTTP/1.1 204 No Content\r\n\r\n")
+		})
+		p := newPath(t, _long, upstream.address)
+		got := send(t, newRequest(t, method, p.url+"/commands", nil))
+		assert.Equal(t, got.status, http.StatusNoContent)
+		request := <-raw
+		assert.Equal(t, request.ContentLength, int64(0), method)
+		assert.Equal(t, len(request.TransferEncoding), 0, method)
+	}
+}
--- a/call/ingress.go
+++ b/call/ingress.go
@@ -90,6 +90,7 @@
 		body:     newReplayBody(r.Body),
 		version:  target.Version(i.d.Routes.Excluded(target.Service)),
 	}
+	limitReading(w, r, c.deadline)
 	if streamsIn(r) {
 		// The answer may begin before the request was read through.
 		_ = http.NewResponseController(w).EnableFullDuplex()
@@ -315,6 +316,10 @@
 	out.RequestURI = ""
 	out.Close = false
 	out.Body = body
+	if c.request.ContentLength == 0 {
+		// Between nodes the transport repeats only what was not processed.
+		out.Body = http.NoBody
+	}
 	out.GetBody = nil
 	out.Trailer = c.request.Trailer
 	removeHopByHop(out.Header)
--- /dev/null
+++ b/call/limits_test.go
@@ -0,0 +1,257 @@
+package call_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lentilferry.example/lentilferry/admission"
+	"lentilferry.example/lentilferry/call"
+	"lentilferry.example/lentilferry/membership"
+)
+
+func TestEachAnswerIsForItsOwnRequest(t *testing.T) {
+	var turn atomic.Int64
+	upstream := serveUpstream(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// Every other answer is late, so that answers cross.
+		if turn.Add(1)%2 == 0 {
+			time.Sleep(5 * time.Millisecond)
+		}
+		_, _ = fmt.Fprintf(w, "%s ", r.Header.Get("X-Request"))
+		_, _ = io.Copy(w, r.Body)
+	}))
+	p := newPath(t, _long, upstream, upstream)
+	var group sync.WaitGroup
+	for i := range 200 {
+		group.Go(func() {
+			request := newRequest(t, http.MethodPost, p.url+"/commands", strings.NewReader(fmt.Sprint("body-", i)))
+			request.Header.Set("X-Request", fmt.Sprint(i))
+			got := send(t, request)
+			if got.status == http.StatusOK {
+				assert.Check(t, got.body == fmt.Sprintf("%d body-%d", i, i), got.body)
+			} else {
+				assert.Check(t, got.outcome != "", "status %d without an outcome", got.status)
+			}
+		})
+	}
+	group.Wait()
+}
+
+func TestHeadersOfOneHopAreNotPassedOn(t *testing.T) {
+	seen := make(chan http.Header, 1)
+	upstream := serveUpstream(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		seen <- r.Header.Clone()
+		w.Header().Set("Connection", "X-Private")
+		w.Header().Set("X-Private", "1")
+		w.Header().Set("X-Public", "1")
+	}))
+	p := newPath(t, _long, upstream)
+	request := newRequest(t, http.MethodGet, p.url+"/", nil)
+	request.Header.Set("Connection", "X-Hop, keep-alive")
+	request.Header.Set("X-Hop", "1")
+	request.Header.Set("Te", "trailers")
+	request.Header.Set("X-End", "1")
+	request.Header.Set("Lentilferry-Owner", "forged")
+	request.Header.Set(call.HeaderDepth, "3")
+	request.Header.Set(call.HeaderRemaining, "5000")
+	got := send(t, request)
+	header := <-seen
+	assert.Equal(t, header.Get("X-Hop"), "")
+	assert.Equal(t, header.Get("X-End"), "1")
+	assert.Equal(t, header.Get("Lentilferry-Owner"), "")
+	assert.Equal(t, header.Get("Lentilferry-Call"), "")
+	assert.Equal(t, header.Get(call.HeaderDepth), "4")
+	var left int
+	_, err := fmt.Sscan(header.Get(call.HeaderRemaining), &left)
+	assert.NilError(t, err)
+	assert.Assert(t, left > 0 && left <= 5000, "%d ms left", left)
+	assert.Equal(t, got.header.Get("X-Private"), "")
+	assert.Equal(t, got.header.Get("X-Public"), "1")
+	assert.Equal(t, got.header.Get("Lentilferry-Load"), "")
+}
+
+func TestTrailers(t *testing.T) {
+	upstream := serveUpstream(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Trailer", "X-Sum")
+		_, _ = io.WriteString(w, "body")
+		w.Header().Set("X-Sum", r.Trailer.Get("X-Sent"))
+	}))
+	p := newPath(t, _long, upstream)
+	request := newRequest(t, http.MethodPost, p.url+"/commands", io.LimitReader(strings.NewReader("abc"), 3))
+	request.Trailer = http.Header{"X-Sent": {"42"}}
+	got := send(t, request)
+	assert.Equal(t, got.body, "body")
+	assert.Equal(t, got.trailer.Get("X-Sum"), "42")
+}
+
+func TestRefusals(t *testing.T) {
+	var calls atomic.Int64
+	upstream := serveUpstream(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) }))
+	p := newPath(t, _long, upstream)
+	for _, test := range []struct {
+		name   string
+		change func(*http.Request)
+		status int
+		reason call.Reason
+	}{
+		{"upgrade", func(r *http.Request) {
+			r.Header.Set("Connection", "Upgrade")
+			r.Header.Set("Upgrade", "websocket")
+		}, http.StatusNotImplemented, call.ReasonUpgrade},
+		{"depth", func(r *http.Request) { r.Header.Set(call.HeaderDepth, fmt.Sprint(call.MaxDepth)) }, http.StatusLoopDetected, call.ReasonTooDeep},
+		{"bad depth", func(r *http.Request) { r.Header.Set(call.HeaderDepth, "x") }, http.StatusBadRequest, call.ReasonBadRequest},
+		{"bad remaining", func(r *http.Request) { r.Header.Set(call.HeaderRemaining, "-1") }, http.StatusBadRequest, call.ReasonBadRequest},
+		{"no time left", func(r *http.Request) { r.Header.Set(call.HeaderRemaining, "0") }, http.StatusGatewayTimeout, call.ReasonDeadline},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			request := newRequest(t, http.MethodGet, p.url+"/", nil)
+			test.change(request)
+			got := send(t, request)
+			assert.Equal(t, got.outcome, call.NotRun.String())
+			assert.Equal(t, got.reason, string(test.reason))
+			assert.Equal(t, got.status, test.status)
+		})
+	}
+	assert.Equal(t, calls.Load(), int64(0))
+}
+
+// A node that has restarted since it was chosen is another owner: it may have
+// forgotten which calls it ran.
+func TestRestartedOwnerRefuses(t *testing.T) {
+	var calls atomic.Int64
+	upstream := serveUpstream(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) }))
+	p := newPath(t, _long, upstream)
+	p.owners[0].member.Incarnation++
+	got := send(t, newRequest(t, http.MethodPost, p.url+"/commands", nil))
+	assert.Equal(t, got.outcome, call.NotRun.String())
+	assert.Equal(t, got.reason, string(call.ReasonWrongOwner))
+	assert.Equal(t, calls.Load(), int64(0))
+}
+
+// A duplicate of a forwarded command that arrives late does not run again,
+// and is not called not run either.
+func TestLateDuplicate(t *testing.T) {
+	var calls atomic.Int64
+	upstream := serveUpstream(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) }))
+	p := newPath(t, _long, upstream)
+	transport := call.NewPeerTransport()
+	defer transport.CloseIdleConnections()
+	for i, want := range []string{"", call.Unknown.String(), call.Unknown.String()} {
+		request := newRequest(t, http.MethodPost, "http://"+p.owners[0].member.Peer.String()+"/commands", nil)
+		request.Header.Set("Lentilferry-Call", "c1")
+		request.Header.Set("Lentilferry-Attempt", "1")
+		request.Header.Set("Lentilferry-Owner", call.OwnerName(p.owners[0].member))
+		response, err := transport.RoundTrip(request)
+		assert.NilError(t, err)
+		assert.Equal(t, response.Header.Get(call.HeaderOutcome), want, "call %d", i)
+		_ = response.Body.Close()
+	}
+	assert.Equal(t, calls.Load(), int64(1))
+}
+
+// A herd of senders can't overrun an upstream: it never has more calls than
+// slots, and what can't wait is refused as not run.
+func TestHerdMeetsSlots(t *testing.T) {
+	var running, most, ran atomic.Int64
+	upstream := serveUpstream(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		ran.Add(1)
+		now := running.Add(1)
+		for seen := most.Load(); now > seen && !most.CompareAndSwap(seen, now); seen = most.Load() {
+		}
+		time.Sleep(2 * time.Millisecond)
+		running.Add(-1)
+	}))
+	p := newPath(t, _long, upstream)
+	var group sync.WaitGroup
+	var answered, notRun atomic.Int64
+	for range 100 {
+		group.Go(func() {
+			switch got := send(t, newRequest(t, http.MethodPost, p.url+"/commands", nil)); {
+			case got.status == http.StatusOK:
+				answered.Add(1)
+			case got.outcome == call.NotRun.String():
+				notRun.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	assert.Assert(t, most.Load() <= _testSlots, "%d at once", most.Load())
+	assert.Equal(t, answered.Load()+notRun.Load(), int64(100))
+	assert.Equal(t, ran.Load(), answered.Load())
+}
+
+// A planned stop finishes what is in flight and refuses what is new.
+func TestDrainCutsNothing(t *testing.T) {
+	entered, release := make(chan struct{}), make(chan struct{})
+	upstream := serveUpstream(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "first ")
+		_ = http.NewResponseController(w).Flush()
+		close(entered)
+		<-release
+		_, _ = io.WriteString(w, "last")
+	}))
+	p := newPath(t, _long, upstream)
+	finished := make(chan answer, 1)
+	go func() { finished <- send(t, newRequest(t, http.MethodPost, p.url+"/commands", nil)) }()
+	<-entered
+	p.owners[0].gate.Drain()
+	refused := send(t, newRequest(t, http.MethodPost, p.url+"/commands", nil))
+	assert.Equal(t, refused.outcome, call.NotRun.String())
+	assert.Equal(t, refused.reason, string(admission.ReasonDraining))
+	close(release)
+	got := <-finished
+	assert.Equal(t, got.body, "first last")
+	assert.Assert(t, !got.broken)
+	p.owners[0].Wait()
+}
+
+// A caller that goes away ends its call at the upstream.
+func TestCancellationReachesTheUpstream(t *testing.T) {
+	entered, canceled := make(chan struct{}), make(chan struct{})
+	upstream := serveUpstream(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		close(entered)
+		<-r.Context().Done()
+		close(canceled)
+	}))
+	p := newPath(t, _long, upstream)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		request, _ := http.NewRequestWithContext(ctx, http.MethodGet, p.url+"/", nil)
+		if response, err := _caller.Do(request); err == nil {
+			_ = response.Body.Close()
+		}
+	}()
+	<-entered
+	cancel()
+	<-canceled
+}
+
+// A connection between nodes that goes silent is found by its ping, and the
+// call on it is not run twice.
+func TestSilentConnectionBetweenNodes(t *testing.T) {
+	silent := newScripted(t, func(s *scripted, _ net.Conn, r *bufio.Reader) {
+		s.calls.Add(1)
+		go func() { _, _ = io.Copy(io.Discard, r) }()
+		s.freeze()
+	})
+	p := newPath(t, _long, closedPort(t))
+	p.pool.Update([]membership.Member{{
+		ID: "silent", State: membership.Serving, Zone: "a", Region: "r",
+		Service: "s", Version: "v1", Slots: 1, Peer: silent.address,
+	}})
+	got := send(t, newRequest(t, http.MethodPost, p.url+"/commands", strings.NewReader("b")))
+	assert.Equal(t, got.outcome, call.Unknown.String())
+	assert.Equal(t, got.reason, string(call.ReasonBroken))
+	assert.Equal(t, silent.calls.Load(), int64(1))
+}
--- /dev/null
+++ b/call/main_test.go
@@ -0,0 +1,9 @@
+package call
+
+import (
+	"testing"
+
+	"lentilferry.example/lentilferry/internal/testseed"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
--- a/call/owner.go
+++ b/call/owner.go
@@ -238,7 +238,7 @@
 		out.Header.Set(HeaderRemaining, formatRemaining(deadline.Sub(o.d.Now())))
 	}
 	out.Header.Set(HeaderDepth, r.Header.Get(HeaderDepth))
-	out.Body = noRewind(r.Body, r.ContentLength)
+	out.Body = noRewind(r)
 	out.GetBody = nil
 	out.Trailer = r.Trailer
 	if _, ok := out.Header["User-Agent"]; !ok {
@@ -248,12 +248,19 @@
 	return out
 }
 
-// noRewind returns a body that is never nil or http.NoBody: for a request
-// without a body the transport would send a call with an Idempotency-Key
-// header twice by itself.
-func noRewind(body io.ReadCloser, length int64) io.ReadCloser {
-	if length == 0 || body == nil || body == http.NoBody {
+// noRewind returns the body that keeps the transport from sending a call twice
+// by itself, which it does with calls without a body that are safe or have an
+// idempotency key.
+func noRewind(r *http.Request) io.ReadCloser {
+	if r.ContentLength != 0 {
+		return r.Body
+	}
+	if repeatable(r.Method) || hasIdempotencyKey(r.Header) {
 		return io.NopCloser(strings.NewReader(""))
 	}
-	return body
+	return http.NoBody
+}
+
+func hasIdempotencyKey(h http.Header) bool {
+	return h.Get("Idempotency-Key") != "" || h.Get("X-Idempotency-Key") != ""
 }
--- /dev/null
+++ b/call/path_test.go
@@ -0,0 +1,238 @@
+package call_test
+
+import (
+	"bufio"
+	"context"
+	"expvar"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"k8s.io/klog/v2"
+
+	"lentilferry.example/lentilferry/admission"
+	"lentilferry.example/lentilferry/call"
+	"lentilferry.example/lentilferry/config"
+	"lentilferry.example/lentilferry/evidence"
+	"lentilferry.example/lentilferry/identity"
+	"lentilferry.example/lentilferry/membership"
+	"lentilferry.example/lentilferry/retry"
+	"lentilferry.example/lentilferry/routing"
+)
+
+// path is a caller's ingress and the owners of some upstreams.
+type path struct {
+	url    string
+	owners []*owner
+	pool   *routing.Pool
+	// deadline is the timeout of the routes.
+	deadline time.Duration
+}
+
+type owner struct {
+	member membership.Member
+	gate   *admission.Gate
+	*call.Owner
+}
+
+type routes struct{ table *routing.Table }
+
+func (r routes) Table() *routing.Table                      { return r.table }
+func (r routes) Excluded(config.Service) config.VersionName { return "" }
+
+type noObserver struct{}
+
+func (noObserver) Observe(time.Time, evidence.Observation) {}
+
+const _testSlots = 2
+
+func newPath(t testing.TB, deadline time.Duration, upstreams ...netip.AddrPort) *path {
+	t.Helper()
+	p := &path{pool: routing.NewPool("a", "r"), deadline: deadline}
+	members := make([]membership.Member, 0, len(upstreams))
+	for i, upstream := range upstreams {
+		o := newOwner(t, membership.NodeID("node-"+string(rune('a'+i))), upstream)
+		p.owners = append(p.owners, o)
+		members = append(members, o.member)
+	}
+	p.pool.Update(members)
+	c := config.Config{
+		Services: []config.Service{{Name: "s", Weights: []config.Weight{{Version: "v1", Share: config.FullShare}}}},
+		Versions: []config.Version{{Service: "s", Name: "v1"}},
+		Routes: []config.Route{
+			{Name: "lookups", Service: "s", PathPrefix: "/", Class: config.ClassLookup, Timeout: deadline},
+			{Name: "commands", Service: "s", PathPrefix: "/commands", Class: config.ClassCommand, Timeout: deadline},
+		},
+	}
+	assert.Equal(t, len(config.Check(c)), 0)
+	ingress := call.NewIngress(call.IngressDependencies{
+		Routes:    routes{routing.NewTable(c, nil, rand.New(rand.NewPCG(1, 1)))},
+		Endpoints: p.pool,
+		Transport: call.NewPeerTransport(),
+		Budgets:   retry.NewBudgets[config.ServiceName](retry.DefaultLimits()),
+		Metrics:   call.NewMetrics(new(expvar.Map), "ingress"),
+		Logger:    klog.Logger{},
+		Now:       time.Now,
+	})
+	server := httptest.NewServer(ingress)
+	t.Cleanup(server.Close)
+	p.url = server.URL
+	return p
+}
+
+func newOwner(t testing.TB, id membership.NodeID, upstream netip.AddrPort) *owner {
+	t.Helper()
+	o := &owner{gate: admission.New(admission.DefaultLimits(_testSlots))}
+	o.member = membership.Member{
+		ID: id, Incarnation: 1, State: membership.Serving, Zone: "a", Region: "r",
+		Service: "s", Version: "v1", Slots: _testSlots,
+	}
+	o.Owner = call.NewOwner(call.OwnerDependencies{
+		Self:      func() membership.Member { return o.member },
+		Upstream:  upstream,
+		Transport: call.NewUpstreamTransport(_testSlots),
+		Gate:      o.gate,
+		Record:    identity.New(time.Now(), config.MaxTimeout, 1000),
+		Observer:  noObserver{},
+		Metrics:   call.NewMetrics(new(expvar.Map), "owner"),
+		Now:       time.Now,
+	})
+	server := httptest.NewUnstartedServer(o)
+	server.Config.Protocols = new(http.Protocols)
+	server.Config.Protocols.SetUnencryptedHTTP2(true)
+	server.Start()
+	t.Cleanup(server.Close)
+	o.member.Peer = netip.MustParseAddrPort(server.Listener.Addr().String())
+	return o
+}
+
+// answer is what a caller got.
+type answer struct {
+	status  int
+	outcome string
+	reason  string
+	body    string
+	header  http.Header
+	trailer http.Header
+	// broken is set when the answer broke off or none came.
+	broken bool
+}
+
+var _caller = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+func send(t testing.TB, request *http.Request) answer {
+	t.Helper()
+	response, err := _caller.Do(request)
+	if err != nil {
+		return answer{broken: true}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return answer{
+		status:  response.StatusCode,
+		outcome: response.Header.Get(call.HeaderOutcome),
+		reason:  response.Header.Get(call.HeaderReason),
+		body:    string(body),
+		header:  response.Header,
+		trailer: response.Trailer,
+		broken:  err != nil,
+	}
+}
+
+func newRequest(t testing.TB, method, url string, body io.Reader) *http.Request {
+	t.Helper()
+	request, err := http.NewRequestWithContext(context.Background(), method, url, body)
+	assert.NilError(t, err)
+	return request
+}
+
+// scripted is an upstream that handles each connection's first call with a
+// script, and counts the calls whose headers it read.
+type scripted struct {
+	address netip.AddrPort
+	calls   atomic.Int64
+	stop    chan struct{}
+	conns   sync.WaitGroup
+}
+
+func newScripted(t testing.TB, script func(s *scripted, conn net.Conn, r *bufio.Reader)) *scripted {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &scripted{address: netip.MustParseAddrPort(listener.Addr().String()), stop: make(chan struct{})}
+	s.conns.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Go(func() {
+				defer func() { _ = conn.Close() }()
+				script(s, conn, bufio.NewReader(conn))
+			})
+		}
+	})
+	t.Cleanup(func() {
+		close(s.stop)
+		_ = listener.Close()
+		s.conns.Wait()
+	})
+	return s
+}
+
+// readHeaders reads a call's headers and counts the call.
+func (s *scripted) readHeaders(r *bufio.Reader) *http.Request {
+	request, err := http.ReadRequest(r)
+	if err != nil {
+		return nil
+	}
+	s.calls.Add(1)
+	return request
+}
+
+// readAll reads a whole call and counts it.
+func (s *scripted) readAll(r *bufio.Reader) *http.Request {
+	request := s.readHeaders(r)
+	if request != nil {
+		_, _ = io.Copy(io.Discard, request.Body)
+	}
+	return request
+}
+
+// freeze keeps the connection open and silent until the test ends.
+func (s *scripted) freeze() { <-s.stop }
+
+func say(conn net.Conn, text string) { _, _ = io.WriteString(conn, text) }
+
+// echo answers each call with its body.
+func echo() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Request", r.Header.Get("X-Request"))
+		_, _ = io.Copy(w, r.Body)
+	})
+}
+
+func serveUpstream(t testing.TB, handler http.Handler) netip.AddrPort {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+}
+
+// closedPort returns an address at which nobody listens.
+func closedPort(t testing.TB) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
--- /dev/null
+++ b/membership/schedule_test.go
@@ -0,0 +1,200 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// schedule runs tables in passed-in time, one round a second, over links that
+// lose messages and are cut.
+type schedule struct {
+	tables []*Table
+	now    time.Time
+	// cut says whether a message from one to another is lost.
+	cut func(from, to int) bool
+	// messages and records count what was sent.
+	messages, records int
+}
+
+func newSchedule(zones []Zone, each int) *schedule {
+	s := &schedule{now: _start, cut: func(int, int) bool { return false }}
+	for z, zone := range zones {
+		for i := range each {
+			s.tables = append(s.tables, newTable(member(i, zone), uint64(z*1000+i)))
+		}
+	}
+	first := s.tables[0].Self()
+	for _, t := range s.tables {
+		t.Merge(s.now, first)
+	}
+	return s
+}
+
+func (s *schedule) index(id NodeID) int {
+	for i, t := range s.tables {
+		if t.Self().ID == id {
+			return i
+		}
+	}
+	return -1
+}
+
+// exchange passes state both ways and reports whether it went through.
+func (s *schedule) exchange(from, to int) bool {
+	if to < 0 || s.cut(from, to) {
+		return false
+	}
+	a, b := s.tables[from], s.tables[to]
+	digests := a.Digests(s.now)
+	s.deliver(a.Updates(), b)
+	b.Heard(s.now, digests)
+	answer := append(b.Updates(), b.Differing(s.now, digests)...)
+	if s.cut(to, from) {
+		return false
+	}
+	s.deliver(answer, a)
+	a.Heard(s.now, b.Digests(s.now))
+	return true
+}
+
+func (s *schedule) deliver(members []Member, to *Table) {
+	s.messages++
+	s.records += len(members)
+	for _, m := range members {
+		to.Merge(s.now, m)
+	}
+}
+
+// round lets each table probe once, and visit the other zones.
+func (s *schedule) round() {
+	s.now = s.now.Add(time.Second)
+	for i, t := range s.tables {
+		t.Tick(s.now)
+		if target, ok := t.NextProbe(); ok && !s.probe(i, target) {
+			t.Unreached(s.now, target.ID)
+		}
+		if !IsChosen(t.Zone(t.Self().Zone), "relay", 2, t.Self().ID) {
+			continue
+		}
+		for _, zone := range t.OtherZones() {
+			if m, ok := t.Contact(zone); ok {
+				s.exchange(i, s.index(m.ID))
+			}
+		}
+	}
+}
+
+func (s *schedule) probe(from int, target Member) bool {
+	to := s.index(target.ID)
+	if s.exchange(from, to) {
+		return true
+	}
+	for _, helper := range s.tables[from].Helpers(target.ID, 2) {
+		h := s.index(helper.ID)
+		if !s.cut(from, h) && s.exchange(h, to) && !s.cut(h, from) {
+			return true
+		}
+	}
+	return false
+}
+
+// known returns how many tables hold a member in a state.
+func (s *schedule) known(id NodeID, zone Zone, state State) int {
+	n := 0
+	for _, t := range s.tables {
+		if m, ok := t.Member(zone, id); ok && m.State == state && !m.Suspected {
+			n++
+		}
+	}
+	return n
+}
+
+func TestHerdLearnsOfItself(t *testing.T) {
+	s := newSchedule([]Zone{"a", "b", "c"}, 30)
+	for range 20 {
+		s.round()
+	}
+	for _, table := range s.tables {
+		assert.Equal(t, len(table.Members()), 90)
+	}
+}
+
+// A silent node is found within the bound, everywhere, and nobody else is
+// called failed although one message in ten is lost.
+func TestDetectionWithLoss(t *testing.T) {
+	const rounds = 40
+	s := newSchedule([]Zone{"a"}, 40)
+	for range 15 {
+		s.round()
+	}
+	dead := 7
+	lost := 0
+	s.cut = func(from, to int) bool {
+		lost++
+		return from == dead || to == dead || lost%10 == 0
+	}
+	id := s.tables[dead].Self().ID
+	for range rounds {
+		s.round()
+	}
+	assert.Equal(t, s.known(id, "a", Failed), 39)
+	for i, table := range s.tables {
+		if i == dead {
+			continue
+		}
+		for _, m := range table.Members() {
+			assert.Assert(t, m.ID == id || !m.State.Gone(), "%s is called %s", m.ID, m.State)
+		}
+	}
+}
+
+// Where A hears B and B does not hear A, the others still reach both.
+func TestHalfOpenLink(t *testing.T) {
+	s := newSchedule([]Zone{"a"}, 10)
+	for range 10 {
+		s.round()
+	}
+	s.cut = func(from, to int) bool { return from == 0 && to == 1 }
+	for range 30 {
+		s.round()
+	}
+	for _, table := range s.tables {
+		for _, m := range table.Members() {
+			assert.Assert(t, !m.State.Gone(), "%s is called %s", m.ID, m.State)
+		}
+	}
+}
+
+// Zones and halves of zones that were cut apart find each other again and
+// return to no older word.
+func TestPartitionHeals(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSchedule([]Zone{"a", "b"}, 6)
+		for range 10 {
+			s.round()
+		}
+		side := rapid.SliceOfN(rapid.Bool(), 12, 12).Draw(t, "side")
+		s.cut = func(from, to int) bool { return side[from] != side[to] }
+		for range rapid.IntRange(1, 40).Draw(t, "cutFor") {
+			s.round()
+		}
+		changed := rapid.IntRange(0, 11).Draw(t, "changed")
+		s.tables[changed].Announce(s.now, func(m *Member) { m.Revision = 99 })
+		s.cut = func(int, int) bool { return false }
+		for range 60 {
+			s.round()
+		}
+		for _, table := range s.tables {
+			members := table.Members()
+			assert.Equal(t, len(members), 12)
+			for _, m := range members {
+				assert.Assert(t, m.State == Serving && !m.Suspected, "%s is %s at %s", m.ID, m.State, table.Self().ID)
+				own := s.tables[s.index(m.ID)].Self()
+				assert.Equal(t, m.Revision, own.Revision)
+			}
+		}
+	})
+}
--- a/membership/table.go
+++ b/membership/table.go
@@ -331,6 +331,7 @@
 			case zone == self.Zone && r.member.Suspected && !r.member.State.Gone() && now.Sub(r.since) >= t.timing.Suspicion:
 				m := r.member
 				m.State = Failed
+				m.Suspected = false
 				failed = append(failed, m)
 			case r.member.State.Gone() && now.Sub(r.since) >= t.timing.Tombstone:
 				s.hash ^= r.member.Hash()
--- /dev/null
+++ b/membership/table_test.go
@@ -0,0 +1,171 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var _start = time.Unix(1_800_000_000, 0)
+
+func member(i int, zone Zone) Member {
+	return Member{
+		ID: NodeID(fmt.Sprintf("%s-%02d", zone, i)), Incarnation: 1, State: Serving, Zone: zone, Region: "r",
+		Peer: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, zone[0], 0, byte(i)}), 1), Service: "s", Version: "v", Slots: 1,
+	}
+}
+
+func newTable(m Member, seed uint64) *Table {
+	return New(DefaultTiming(), m, rand.New(rand.NewPCG(seed, 1)), _start)
+}
+
+// Tables that hear the same words in any order, any number of times, agree.
+func TestMergeIsTheSameInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		words := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Member {
+			m := member(rapid.IntRange(0, 3).Draw(t, "id"), "a")
+			m.Incarnation = uint64(rapid.IntRange(1, 3).Draw(t, "incarnation"))
+			m.Sequence = uint64(rapid.IntRange(0, 3).Draw(t, "sequence"))
+			switch rapid.IntRange(0, 2).Draw(t, "rank") {
+			case 1:
+				m.Suspected = true
+			case 2:
+				m.State = Failed
+			}
+			return m
+		}), 1, 20).Draw(t, "words")
+		one, other := newTable(member(9, "b"), 1), newTable(member(9, "b"), 2)
+		for _, w := range words {
+			one.Merge(_start, w)
+		}
+		for _, i := range rapid.Permutation(indexes(len(words))).Draw(t, "order") {
+			other.Merge(_start, words[i])
+			other.Merge(_start, words[i])
+		}
+		assert.DeepEqual(t, one.Digests(_start.Add(time.Second)), other.Digests(_start.Add(time.Second)))
+		for _, m := range one.Zone("a") {
+			same, ok := other.Member("a", m.ID)
+			assert.Assert(t, ok && !same.Supersedes(m) && !m.Supersedes(same))
+		}
+	})
+}
+
+func indexes(n int) []int {
+	all := make([]int, n)
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}
+
+func TestSuspicionAndRefutation(t *testing.T) {
+	a, b := newTable(member(0, "a"), 1), newTable(member(1, "a"), 2)
+	a.Merge(_start, b.Self())
+	a.Unreached(_start, b.Self().ID)
+	suspected, _ := a.Member("a", b.Self().ID)
+	assert.Assert(t, suspected.Suspected)
+	assert.Equal(t, len(a.Tick(_start.Add(3*time.Second))), 0)
+
+	// The suspected node hears of it, refutes, and is believed.
+	b.Merge(_start, suspected)
+	a.Merge(_start, b.Self())
+	cleared, _ := a.Member("a", b.Self().ID)
+	assert.Assert(t, !cleared.Suspected)
+
+	// Without an answer it fails once the time is over.
+	a.Unreached(_start, b.Self().ID)
+	assert.Equal(t, len(a.Tick(_start.Add(3*time.Second))), 0)
+	assert.Equal(t, len(a.Tick(_start.Add(4*time.Second))), 1)
+	failed, _ := a.Member("a", b.Self().ID)
+	assert.Equal(t, failed.State, Failed)
+
+	// A paused node that wakes is told that it failed, and comes back.
+	b.Merge(_start, failed)
+	assert.Equal(t, b.Self().State, Serving)
+	a.Merge(_start, b.Self())
+	back, _ := a.Member("a", b.Self().ID)
+	assert.Equal(t, back.State, Serving)
+}
+
+// A replaced VM that takes the same ID wins over the old one's record, even
+// when its clock is behind, and learns what it ran before.
+func TestReplacedNode(t *testing.T) {
+	old := member(0, "a")
+	old.Incarnation, old.Sequence, old.Revision = 50, 9, 7
+	fresh := member(0, "a")
+	fresh.Incarnation = 20
+	table := newTable(fresh, 1)
+	table.Merge(_start, old)
+	assert.Assert(t, table.Self().Supersedes(old))
+	assert.Equal(t, table.Floor(), uint64(7))
+	assert.Equal(t, table.Self().Revision, uint64(0))
+}
+
+func TestTombstonesAreForgotten(t *testing.T) {
+	table := newTable(member(0, "a"), 1)
+	gone := member(1, "a")
+	gone.State = Left
+	table.Merge(_start, gone)
+	hash := table.Digests(_start)
+	table.Tick(_start.Add(DefaultTiming().Tombstone))
+	_, known := table.Member("a", gone.ID)
+	assert.Assert(t, !known)
+	assert.Assert(t, len(hash) == 0 || hash[0].Hash != table.Digests(_start)[0].Hash)
+}
+
+func TestChosenMovesLittle(t *testing.T) {
+	var zone []Member
+	for i := range 92 {
+		zone = append(zone, member(i, "a"))
+	}
+	before := Chosen(zone, "relay", 2)
+	assert.Equal(t, len(before), 2)
+	for i := range zone {
+		if zone[i].ID == before[0].ID {
+			zone[i].State = Failed
+		}
+	}
+	after := Chosen(zone, "relay", 2)
+	assert.Equal(t, after[0].ID, before[1].ID)
+	assert.Assert(t, !IsChosen(zone, "relay", 2, before[0].ID))
+}
+
+func TestInForceNamesWhoHoldsBack(t *testing.T) {
+	members := []Member{member(0, "a"), member(1, "a"), member(0, "b"), member(1, "b")}
+	for i := range members {
+		members[i].Revision = 5
+	}
+	members[1].Revision = 4
+	members[2].Revision = 3
+	members[2].State = Failed
+	digests := []ZoneDigest{{Zone: "a"}, {Zone: "b", Age: 2 * time.Second}}
+	got := ComputeInForce(members, digests, time.Minute)
+	assert.Equal(t, got.Number, uint64(4))
+	assert.DeepEqual(t, got.HeldBack, []HeldBack{{ID: members[1].ID, Zone: "a", Revision: 4}})
+	members[3].Revision = 1
+	digests[1].Age = 2 * time.Minute
+	got = ComputeInForce(members, digests, time.Minute)
+	assert.Equal(t, got.Number, uint64(4))
+	assert.DeepEqual(t, got.LeftOut, []Zone{"b"})
+}
+
+func TestUpdatesAreBoundedAndEnd(t *testing.T) {
+	table := newTable(member(0, "a"), 1)
+	for i := 1; i < 92; i++ {
+		table.Merge(_start, member(i, "a"))
+	}
+	messages := 0
+	for ; ; messages++ {
+		updates := table.Updates()
+		assert.Assert(t, len(updates) <= _maxUpdates)
+		if len(updates) == 0 {
+			break
+		}
+	}
+	assert.Assert(t, messages <= 92*_spread*8/_maxUpdates+1, "%d messages", messages)
+}
--- /dev/null
+++ b/revision/main_test.go
@@ -0,0 +1,9 @@
+package revision_test
+
+import (
+	"testing"
+
+	"lentilferry.example/lentilferry/internal/testseed"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
--- /dev/null
+++ b/revision/revision_test.go
@@ -0,0 +1,275 @@
+package revision_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"lentilferry.example/lentilferry/config"
+	"lentilferry.example/lentilferry/distribution"
+	"lentilferry.example/lentilferry/internal/fakes/fakeplatform"
+	"lentilferry.example/lentilferry/platform"
+	"lentilferry.example/lentilferry/revision"
+	"lentilferry.example/lentilferry/wire"
+)
+
+var _now = time.Unix(1_800_000_000, 0)
+
+// numbered returns a valid configuration that differs with n.
+func numbered(n int) config.Config {
+	return config.Config{
+		Services: []config.Service{{Name: "s", Weights: []config.Weight{{Version: "v1", Share: config.FullShare}}}},
+		Versions: []config.Version{{Service: "s", Name: "v1"}},
+		Routes: []config.Route{{
+			Name: "r", Service: "s", PathPrefix: fmt.Sprintf("/%d", n),
+			Class: config.ClassLookup, Timeout: time.Second,
+		}},
+	}
+}
+
+func setTo(c config.Config) revision.Change {
+	return func(context.Context, config.Config) (config.Config, error) { return c, nil }
+}
+
+func commit(p revision.Store, h *revision.Holder, operation string, c config.Config) revision.CommitOutcome {
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	return revision.NewCommitter(p, wire.Codec{}, h).Commit(ctx, _now, revision.CommitRequest{Operation: operation, Change: setTo(c)})
+}
+
+// headNumber returns what the platform really holds.
+func headNumber(t assert.TestingT, p *fakeplatform.Platform) uint64 {
+	object, err := p.Get(context.Background(), revision.HeadKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return 0
+	}
+	assert.NilError(t, err)
+	m, err := wire.Codec{}.DecodeManifest(object.Value)
+	assert.NilError(t, err)
+	return m.Number
+}
+
+// Accepted means committed, whatever the platform does meanwhile: what is
+// called committed is in the head, and what is called refused is not.
+func TestCommitUnderFaults(t *testing.T) {
+	p := fakeplatform.New()
+	h := revision.NewHolder()
+	assert.Equal(t, commit(p, h, "op-0", numbered(0)).Result, revision.Committed)
+
+	p.SetFaults(fakeplatform.Faults{Down: true})
+	got := commit(p, h, "op-1", numbered(1))
+	assert.Equal(t, got.Result, revision.Refused)
+	assert.Assert(t, errors.Is(got.Err, platform.ErrUnavailable))
+	p.SetFaults(fakeplatform.Faults{})
+	assert.Equal(t, headNumber(t, p), uint64(1))
+
+	// The write takes effect and its answer is lost: reading back tells.
+	p.SetFaults(fakeplatform.Faults{LoseAnswers: true})
+	got = commit(p, h, "op-2", numbered(2))
+	assert.Equal(t, got.Result, revision.Refused, "no resource was seen written, so the head was not tried: %v", got.Err)
+	p.SetFaults(fakeplatform.Faults{})
+	assert.Equal(t, headNumber(t, p), uint64(1))
+}
+
+// lossyHead loses the answers to writes of the head only.
+type lossyHead struct {
+	*fakeplatform.Platform
+	// downAfter makes the platform unreachable after the lost answer.
+	downAfter bool
+	// before runs before each write of the head.
+	before func()
+}
+
+func (l lossyHead) Update(ctx context.Context, key platform.Key, version uint64, value []byte) platform.WriteOutcome {
+	if l.before != nil {
+		l.before()
+	}
+	outcome := l.Platform.Update(ctx, key, version, value)
+	if outcome.Result != platform.Written {
+		return outcome
+	}
+	if l.downAfter {
+		l.SetFaults(fakeplatform.Faults{Down: true})
+	}
+	return platform.WriteOutcome{Result: platform.Unknown, Err: platform.ErrUnavailable}
+}
+
+func TestLostAnswerOfTheHead(t *testing.T) {
+	p := fakeplatform.New()
+	assert.Equal(t, commit(p, revision.NewHolder(), "op-0", numbered(0)).Result, revision.Committed)
+
+	got := commit(lossyHead{Platform: p}, revision.NewHolder(), "op-1", numbered(1))
+	assert.Equal(t, got.Result, revision.Committed, "%v", got.Err)
+	assert.Equal(t, got.Number, uint64(2))
+
+	got = commit(lossyHead{Platform: p, downAfter: true}, revision.NewHolder(), "op-2", numbered(2))
+	assert.Equal(t, got.Result, revision.Unresolved)
+	p.SetFaults(fakeplatform.Faults{})
+	assert.Equal(t, headNumber(t, p), uint64(3))
+
+	// Repeating the operation once the platform is back resolves it.
+	got = commit(p, revision.NewHolder(), "op-2", numbered(2))
+	assert.Equal(t, got.Result, revision.Committed)
+	assert.Equal(t, got.Number, uint64(3))
+	assert.Equal(t, headNumber(t, p), uint64(3))
+}
+
+// A committer that sleeps between its read and its write does not overwrite
+// what came meanwhile.
+func TestPausedCommitterDoesNotOverwrite(t *testing.T) {
+	p := fakeplatform.New()
+	assert.Equal(t, commit(p, revision.NewHolder(), "op-0", numbered(0)).Result, revision.Committed)
+	var once sync.Once
+	slow := lossyHead{Platform: p, before: func() {
+		once.Do(func() { commit(p, revision.NewHolder(), "quick", numbered(7)) })
+	}}
+	seen := 0
+	got := revision.NewCommitter(slow, wire.Codec{}, revision.NewHolder()).Commit(context.Background(), _now, revision.CommitRequest{
+		Operation: "slow",
+		Change: func(_ context.Context, current config.Config) (config.Config, error) {
+			seen++
+			current.Routes = append(current.Routes, config.Route{Name: "more", Service: "s", PathPrefix: "/more", Class: config.ClassLookup, Timeout: time.Second})
+			return current, nil
+		},
+	})
+	assert.Equal(t, got.Result, revision.Committed)
+	assert.Equal(t, got.Number, uint64(3))
+	assert.Equal(t, seen, 2)
+	object, err := p.Get(context.Background(), revision.HeadKey)
+	assert.NilError(t, err)
+	s, err := revision.Load(context.Background(), p, wire.Codec{}, object, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, s.Config.Routes[1].PathPrefix, "/7", "the quick commit was lost")
+}
+
+func TestRacingCommittersAllTakeEffectOnce(t *testing.T) {
+	p := fakeplatform.New()
+	assert.Equal(t, commit(p, revision.NewHolder(), "op", numbered(0)).Result, revision.Committed)
+	var group sync.WaitGroup
+	for i := range 6 {
+		group.Go(func() {
+			got := revision.NewCommitter(p, wire.Codec{}, revision.NewHolder()).Commit(context.Background(), _now, revision.CommitRequest{
+				Operation: fmt.Sprint("racer-", i),
+				Change: func(_ context.Context, current config.Config) (config.Config, error) {
+					current.Routes = append(current.Routes, config.Route{
+						Name: config.RouteName(fmt.Sprint("r", i)), Service: "s", PathPrefix: fmt.Sprint("/r", i),
+						Class: config.ClassLookup, Timeout: time.Second,
+					})
+					return current, nil
+				},
+			})
+			assert.Check(t, got.Result == revision.Committed, "%v", got.Err)
+		})
+	}
+	group.Wait()
+	assert.Equal(t, headNumber(t, p), uint64(7))
+}
+
+func TestBadRevisionIsRefusedWhole(t *testing.T) {
+	bad := numbered(1)
+	bad.Routes[0].Service = "missing"
+	got := commit(fakeplatform.New(), revision.NewHolder(), "op", bad)
+	assert.Equal(t, got.Result, revision.Refused)
+	assert.ErrorContains(t, got.Err, `routes[r].service: service "missing" does not exist`)
+}
+
+// build returns the snapshots of a chain of revisions.
+func build(t assert.TestingT, configs ...config.Config) []*revision.Snapshot {
+	var chain []*revision.Snapshot
+	var last *revision.Snapshot
+	for i, c := range configs {
+		next, err := revision.Next(wire.Codec{}, last, c, fmt.Sprint("op-", i), "", _now)
+		assert.NilError(t, err)
+		chain = append(chain, next)
+		last = next
+	}
+	return chain
+}
+
+// Whatever order, doubling, loss or corruption bundles arrive in, a replica
+// never goes back, never holds anything but a committed revision, and ends at
+// the newest when it is handed over whole.
+func TestReplicaUnderAnyDelivery(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		configs := make([]config.Config, 6)
+		for i := range configs {
+			configs[i] = numbered(rapid.IntRange(0, 2).Draw(t, "config"))
+		}
+		chain := build(t, configs...)
+		sources := make([]*distribution.Replica, len(chain))
+		for i := range chain {
+			h := revision.NewHolder()
+			for _, s := range chain[:i+1] {
+				h.Offer(s)
+			}
+			sources[i] = distribution.New(wire.Codec{}, h)
+		}
+		holder := revision.NewHolder()
+		replica := distribution.New(wire.Codec{}, holder)
+		for range rapid.IntRange(0, 30).Draw(t, "deliveries") {
+			before := holder.Number()
+			from := sources[rapid.IntRange(0, len(sources)-1).Draw(t, "from")]
+			b, ok := from.BundleFor(uint64(rapid.IntRange(0, len(chain)).Draw(t, "have")))
+			if !ok {
+				continue
+			}
+			damage(t, &b)
+			receipt := replica.Receive(b)
+			number := holder.Number()
+			assert.Assert(t, number >= before, "went from %d back to %d", before, number)
+			assert.Equal(t, receipt.Result == distribution.Applied, number > before)
+			if number > 0 {
+				assert.Assert(t, holder.Current().Manifest.Hash() == chain[number-1].Manifest.Hash())
+			}
+		}
+		whole, _ := sources[len(sources)-1].BundleFor(0)
+		replica.Receive(whole)
+		assert.Equal(t, holder.Number(), uint64(len(chain)))
+	})
+}
+
+// damage spoils a bundle, or leaves it.
+func damage(t *rapid.T, b *distribution.Bundle) {
+	switch rapid.IntRange(0, 5).Draw(t, "damage") {
+	case 0:
+		b.Values = b.Values[:len(b.Values)/2]
+	case 1:
+		if len(b.Values) > 0 {
+			b.Values[0] = append([]byte{1}, b.Values[0]...)
+		}
+	case 2:
+		// A peer that lies about its number.
+		b.Manifest.Number += 5
+	case 3:
+		b.Changed = nil
+	}
+}
+
+// A configuration that a newer version of the software wrote is refused whole
+// and named, and the next good one goes through.
+func TestUnknownResourceIsRefused(t *testing.T) {
+	chain := build(t, numbered(0), numbered(1))
+	holder := revision.NewHolder()
+	replica := distribution.New(wire.Codec{}, holder)
+	holder.Offer(chain[0])
+	newer := chain[1].Manifest
+	value := []byte{0x7a, 0x00}
+	newer.Entries = append(newer.Entries, revision.Entry{Key: revision.EntryKey{Kind: 9, Name: "new"}, Hash: revision.HashOf(value)})
+	bundle := distribution.Bundle{Manifest: newer, Hash: newer.Hash(), Values: [][]byte{value}}
+	for _, v := range chain[1].Values {
+		bundle.Values = append(bundle.Values, v)
+	}
+	assert.Equal(t, replica.Receive(bundle).Result, distribution.Refused)
+	assert.Equal(t, holder.Number(), uint64(1))
+	assert.Equal(t, holder.Refusal().Number, uint64(2))
+	next, err := revision.Next(wire.Codec{}, chain[1], numbered(2), "op", "", _now)
+	assert.NilError(t, err)
+	assert.Equal(t, holder.Offer(next), revision.Applied)
+	assert.Equal(t, holder.Refusal().Number, uint64(0))
+}
