--- a/evidence/detector.go
+++ b/evidence/detector.go
@@ -195,6 +195,9 @@
 	_spreadFrom = 3
 	// _spreadCalls is how many bad calls others than the worst must have.
 	_spreadCalls = 2
+	// _spreadPart is which part of the version's rate of bad calls the others
+	// must have at the least.
+	_spreadPart = 0.25
 )
 
 // spread reports whether the bad calls are the version's: where it has several
@@ -203,13 +206,16 @@
 	if len(s.byNode) < _spreadFrom {
 		return true
 	}
-	var total, worst uint64
+	var all, worst sample
 	for _, t := range s.byNode {
-		n := bad(t)
-		total += n
-		worst = max(worst, n)
+		one := sample{calls: t.Calls, bad: bad(t)}
+		all = sample{calls: all.calls + one.calls, bad: all.bad + one.bad}
+		if one.bad > worst.bad {
+			worst = one
+		}
 	}
-	return total-worst >= _spreadCalls
+	others := sample{calls: all.calls - worst.calls, bad: all.bad - worst.bad}
+	return others.bad >= _spreadCalls && others.rate() >= _spreadPart*all.rate()
 }
 
 // _aloneAfterCalls is how many of the candidate's calls without any of the
--- /dev/null
+++ b/evidence/detector_test.go
@@ -0,0 +1,284 @@
+package evidence
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"lentilferry.example/lentilferry/config"
+	"lentilferry.example/lentilferry/internal/testseed"
+	"lentilferry.example/lentilferry/membership"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
+
+var _start = time.Unix(1_800_000_000, 0)
+
+// stance is how a version behaves.
+type stance struct {
+	fail float64
+	// slower multiplies the latency.
+	slower float64
+}
+
+var _well = stance{fail: 0.002, slower: 1}
+
+// trial is one rollout's synthetic stream of calls, a window a second.
+type trial struct {
+	// rate is the calls of the service each second.
+	rate  int
+	share float64
+	// upstreams is how many each version has.
+	upstreams int
+	// candidate and baseline tell how the versions behave in a second, and at
+	// one of their upstreams.
+	candidate func(second, upstream int) stance
+	baseline  func(second, upstream int) stance
+	seconds   int
+}
+
+func always(s stance) func(int, int) stance {
+	return func(int, int) stance { return s }
+}
+
+// result is what became of a trial.
+type result struct {
+	bad    bool
+	reason string
+	// calls and seconds are what it took.
+	calls   uint64
+	seconds int
+}
+
+func (tr trial) run(seed uint64) result {
+	rnd := rand.New(rand.NewPCG(seed, 7))
+	d := NewDetector("v1", "v2")
+	recorders := make(map[config.VersionName][]*Recorder)
+	for _, v := range []config.VersionName{"v1", "v2"} {
+		for range tr.upstreams {
+			r := NewRecorder(v)
+			r.SetRollout("x")
+			recorders[v] = append(recorders[v], r)
+		}
+	}
+	for second := range tr.seconds {
+		now := _start.Add(time.Duration(second) * time.Second)
+		for range tr.rate {
+			version, behave := config.VersionName("v1"), tr.baseline
+			if rnd.Float64() < tr.share {
+				version, behave = "v2", tr.candidate
+			}
+			u := rnd.IntN(tr.upstreams)
+			s := behave(second, u)
+			took := time.Duration(s.slower * (2 + rnd.ExpFloat64()) * float64(5*time.Millisecond))
+			recorders[version][u].Observe(now, Observation{Route: "r", Failed: rnd.Float64() < s.fail, Took: took})
+		}
+		d.Observe(now, "a", reports(recorders, uint64(second+1)))
+		if v := d.Verdict(); v.Bad {
+			return result{bad: true, reason: v.Reason, calls: v.CandidateCalls, seconds: second + 1}
+		}
+	}
+	return result{calls: d.Verdict().CandidateCalls, seconds: tr.seconds}
+}
+
+func reports(recorders map[config.VersionName][]*Recorder, sequence uint64) []Report {
+	var all []Report
+	for v, of := range recorders {
+		for i, r := range of {
+			all = append(all, Report{
+				Rollout: "x", From: membership.NodeID(fmt.Sprint(v, "-", i)), Incarnation: 1,
+				Sequence: sequence, Tallies: r.Tallies(),
+			})
+		}
+	}
+	return all
+}
+
+// trials runs a trial with many seeds and counts the verdicts.
+func (tr trial) trials(n int) (bad int, calls, seconds float64) {
+	for seed := range n {
+		r := tr.run(uint64(seed))
+		if r.bad {
+			bad++
+			calls += float64(r.calls)
+			seconds += float64(r.seconds)
+		}
+	}
+	if bad > 0 {
+		calls /= float64(bad)
+		seconds /= float64(bad)
+	}
+	return bad, calls, seconds
+}
+
+func base() trial {
+	return trial{rate: 60, share: 0.05, upstreams: 4, candidate: always(_well), baseline: always(_well), seconds: 120}
+}
+
+// The bounds here come from what users need: good versions are not taken
+// back, bad ones are, and few calls meet them.
+func TestVerdicts(t *testing.T) {
+	const n = 40
+	for _, test := range []struct {
+		name   string
+		change func(*trial)
+		// least and most bound the number of bad verdicts.
+		least, most int
+		// calls bounds the mean number of calls that met the bad version.
+		calls float64
+	}{
+		{name: "good", change: func(*trial) {}, most: 0},
+		{name: "good, half of the calls", change: func(tr *trial) { tr.share = 0.5 }, most: 0},
+		{name: "both fail often", change: func(tr *trial) {
+			tr.candidate, tr.baseline = always(stance{0.1, 1}), always(stance{0.1, 1})
+		}, most: 0},
+		{name: "both turn slow", change: func(tr *trial) {
+			late := func(second, _ int) stance {
+				if second > 60 {
+					return stance{0.002, 4}
+				}
+				return _well
+			}
+			tr.candidate, tr.baseline = late, late
+		}, most: 0},
+		{name: "bursts hit both", change: func(tr *trial) {
+			burst := func(second, _ int) stance {
+				if second%20 == 0 {
+					return stance{0.3, 5}
+				}
+				return _well
+			}
+			tr.candidate, tr.baseline = burst, burst
+		}, most: 0},
+		{name: "one upstream of four is ill", change: func(tr *trial) {
+			tr.candidate = func(_, upstream int) stance {
+				if upstream == 0 {
+					return stance{1, 1}
+				}
+				return _well
+			}
+		}, most: 0},
+		{name: "fails always", change: func(tr *trial) { tr.candidate = always(stance{1, 1}) }, least: n, most: n, calls: 12},
+		{name: "fails half", change: func(tr *trial) { tr.candidate = always(stance{0.5, 1}) }, least: n, most: n, calls: 20},
+		{name: "fails one in ten", change: func(tr *trial) { tr.candidate = always(stance{0.1, 1}) }, least: n, most: n, calls: 100},
+		{name: "fails after a minute", change: func(tr *trial) {
+			tr.candidate = func(second, _ int) stance {
+				if second >= 60 {
+					return stance{0.5, 1}
+				}
+				return _well
+			}
+		}, least: n, most: n, calls: 180 + 30},
+		{name: "twice as slow", change: func(tr *trial) { tr.candidate = always(stance{0.002, 2}) }, least: n, most: n, calls: 100},
+		{name: "half as slow again", change: func(tr *trial) {
+			tr.candidate = always(stance{0.002, 1.5})
+			tr.share = 0.25
+		}, least: n, most: n, calls: 600},
+		{name: "slow under load", change: func(tr *trial) {
+			tr.candidate = func(second, _ int) stance {
+				if second%30 > 15 {
+					return stance{0.002, 3}
+				}
+				return _well
+			}
+		}, least: n, most: n, calls: 200},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			tr := base()
+			test.change(&tr)
+			bad, calls, seconds := tr.trials(n)
+			t.Logf("%d of %d condemned; mean %.1f calls, %.1f s", bad, n, calls, seconds)
+			assert.Assert(t, bad >= test.least && bad <= test.most, "%d of %d condemned", bad, n)
+			assert.Assert(t, calls <= test.calls, "%.1f calls met the bad version", calls)
+		})
+	}
+}
+
+// Reports that are lost, doubled or late count as if all had come once.
+func TestReportsCountOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := NewRecorder("v2")
+		r.SetRollout("x")
+		c := NewCollector()
+		d := NewDetector("v1", "v2")
+		var sent []Report
+		for i := range rapid.IntRange(1, 20).Draw(t, "reports") {
+			for range rapid.IntRange(0, 5).Draw(t, "calls") {
+				r.Observe(_start, Observation{Route: "r", Took: time.Millisecond})
+			}
+			sent = append(sent, Report{Rollout: "x", From: "n", Incarnation: 1, Sequence: uint64(i + 1), Tallies: r.Tallies()})
+			for range rapid.IntRange(0, 2).Draw(t, "deliveries") {
+				c.Take(_start, sent[rapid.IntRange(0, i).Draw(t, "which")])
+			}
+			d.Observe(_start, "a", c.Reports("x"))
+		}
+		c.Take(_start, sent[len(sent)-1])
+		d.Observe(_start, "a", c.Reports("x"))
+		d.Observe(_start, "a", c.Reports("x"))
+		want := uint64(0)
+		for _, tally := range r.Tallies() {
+			want += tally.Calls
+		}
+		assert.Equal(t, d.Verdict().CandidateCalls, want)
+	})
+}
+
+// A restarted node begins from zero; its earlier calls still count.
+func TestRestartedReporter(t *testing.T) {
+	d := NewDetector("v1", "v2")
+	c := NewCollector()
+	for incarnation := range uint64(3) {
+		r := NewRecorder("v2")
+		r.SetRollout("x")
+		for range 10 {
+			r.Observe(_start, Observation{Route: "r"})
+		}
+		c.Take(_start, Report{Rollout: "x", From: "n", Incarnation: incarnation, Sequence: 1, Tallies: r.Tallies()})
+		d.Observe(_start, "a", c.Reports("x"))
+	}
+	assert.Equal(t, d.Verdict().CandidateCalls, uint64(30))
+}
+
+func TestLatencyBounds(t *testing.T) {
+	r := NewRecorder("v")
+	r.SetRollout("x")
+	for range 90 {
+		r.Observe(_start, Observation{Route: "r", Took: 10 * time.Millisecond})
+	}
+	for range 10 {
+		r.Observe(_start, Observation{Route: "r", Took: time.Hour})
+	}
+	l := r.Tallies()[0].Latency
+	assert.Equal(t, l.Total(), uint64(100))
+	assert.Assert(t, l.Quantile(0.5) >= 10*time.Millisecond && l.Quantile(0.5) < 12*time.Millisecond, "%s", l.Quantile(0.5))
+	assert.Equal(t, l.Above(time.Second), uint64(10))
+}
+
+// BenchmarkTrials compares the sequential test with a fixed threshold: a
+// version is bad when 5% of at least 100 of its calls failed.
+func BenchmarkTrials(b *testing.B) {
+	for _, fail := range []float64{0.002, 0.02, 0.1, 0.5, 1} {
+		b.Run(fmt.Sprint("fail=", fail), func(b *testing.B) {
+			tr := base()
+			tr.candidate = always(stance{fail, 1})
+			for b.Loop() {
+				bad, calls, _ := tr.trials(100)
+				b.ReportMetric(float64(bad), "condemned%")
+				b.ReportMetric(calls, "calls")
+			}
+		})
+	}
+}
+
+func BenchmarkObserve(b *testing.B) {
+	r := NewRecorder("v1")
+	r.SetRollout("x")
+	for b.Loop() {
+		r.Observe(_start, Observation{Route: "r", Took: 7 * time.Millisecond})
+	}
+}
--- a/evidence/test.go
+++ b/evidence/test.go
@@ -9,6 +9,11 @@
 	bad uint64
 }
 
+// rate returns the part of the calls that is bad, 0 without calls.
+func (s sample) rate() float64 {
+	return float64(s.bad) / float64(max(1, s.calls))
+}
+
 const (
 	// _toleratedRatio is how many times the baseline's rate of bad calls the
 	// candidate may have.
--- /dev/null
+++ b/identity/record_test.go
@@ -0,0 +1,60 @@
+package identity
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"lentilferry.example/lentilferry/internal/testseed"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
+
+// An identity is claimed once for as long as its lifetime, at the least; the
+// record says Full before it forgets; and its memory is bounded.
+func TestClaimsAreRememberedForTheirLifetime(t *testing.T) {
+	const most, lifetime = 64, time.Minute
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1_800_000_000, 0)
+		r := New(now, lifetime, most)
+		claimed := make(map[string]time.Time)
+		for range rapid.IntRange(1, 200).Draw(t, "claims") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 20_000).Draw(t, "pass")) * time.Millisecond)
+			id := fmt.Sprint(rapid.IntRange(0, 40).Draw(t, "id"))
+			at, before := claimed[id]
+			switch r.Claim(now, id) {
+			case First:
+				assert.Assert(t, !before || now.Sub(at) >= lifetime, "%s ran twice within %s", id, now.Sub(at))
+				claimed[id] = now
+			case Duplicate:
+				assert.Assert(t, before && now.Sub(at) < 3*lifetime)
+			}
+			assert.Assert(t, r.Len() <= 2*most)
+		}
+	})
+}
+
+func TestFullRecordRefuses(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	r := New(now, time.Minute, _shards)
+	full := 0
+	for i := range 1000 {
+		if r.Claim(now, fmt.Sprint(i)) == Full {
+			full++
+		}
+	}
+	assert.Equal(t, full, 1000-_shards)
+	assert.Equal(t, r.Len(), _shards)
+}
+
+func BenchmarkClaim(b *testing.B) {
+	now := time.Unix(1_800_000_000, 0)
+	r := New(now, time.Minute, 1<<30)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		r.Claim(now, fmt.Sprintf("%032d/1", i))
+	}
+}
--- a/internal/fakes/fakeplatform/platform.go
+++ b/internal/fakes/fakeplatform/platform.go
@@ -62,10 +62,17 @@
 
 // SetFaults replaces the failures that the store shows.
 func (p *Platform) SetFaults(f Faults) {
+	p.SwapFaults(f)
+}
+
+// SwapFaults replaces the failures and returns those before.
+func (p *Platform) SwapFaults(f Faults) Faults {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	before := p.faults
 	p.faults = f
 	p.wake()
+	return before
 }
 
 // Calls returns how many calls the store has had.
--- /dev/null
+++ b/routing/routing_test.go
@@ -0,0 +1,207 @@
+package routing
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"lentilferry.example/lentilferry/config"
+	"lentilferry.example/lentilferry/internal/testseed"
+	"lentilferry.example/lentilferry/membership"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
+
+var _start = time.Unix(1_800_000_000, 0)
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func TestMatch(t *testing.T) {
+	c := config.Config{Routes: []config.Route{
+		{Name: "all", PathPrefix: "/"},
+		{Name: "slips", PathPrefix: "/slips"},
+		{Name: "slip-batches", PathPrefix: "/slips/batches"},
+		{Name: "host", Host: "desk.example", PathPrefix: "/slips"},
+	}}
+	table := NewTable(c, nil, newRand())
+	for _, test := range []struct{ host, path, want string }{
+		{"", "/", "all"},
+		{"other.example", "/slips", "slips"},
+		{"other.example", "/slips/7", "slips"},
+		{"other.example", "/slipshod", "all"},
+		{"other.example", "/slips/batches", "slip-batches"},
+		{"Desk.Example:8080", "/slips/7", "host"},
+		{"desk.example", "/else", "all"},
+	} {
+		target, ok := table.Match(test.host, test.path)
+		assert.Assert(t, ok)
+		assert.Equal(t, string(target.Route.Name), test.want, "%s%s", test.host, test.path)
+	}
+	_, ok := NewTable(config.Config{}, nil, newRand()).Match("h", "/")
+	assert.Assert(t, !ok)
+}
+
+// Over a few hundred calls each share holds to within a few calls, also when
+// a new configuration comes in between.
+func TestSharesHold(t *testing.T) {
+	const calls, bound = 300, 4.0
+	rapid.Check(t, func(t *rapid.T) {
+		share := config.Share(rapid.IntRange(1, 9999).Draw(t, "share"))
+		c := config.Config{
+			Services: []config.Service{{Name: "s", Weights: config.Split("v1", "v2", share)}},
+			Routes:   []config.Route{{Name: "r", Service: "s", PathPrefix: "/"}},
+		}
+		table := NewTable(c, nil, rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)))
+		count := 0
+		for i := range calls {
+			if i == calls/2 {
+				table = NewTable(c, table, newRand())
+			}
+			target, _ := table.Match("", "/")
+			if target.Version("") == "v2" {
+				count++
+			}
+		}
+		want := float64(calls) * float64(share) / float64(config.FullShare)
+		assert.Assert(t, math.Abs(float64(count)-want) <= bound, "%d calls for %.1f", count, want)
+	})
+}
+
+func TestQuarantineOnlyLowersTheCandidate(t *testing.T) {
+	service := config.Service{
+		Name: "s", Weights: config.Split("v1", "v2", 5000),
+		Rollout: config.RolloutMark{ID: "x", Baseline: "v1", Candidate: "v2"},
+	}
+	c := config.Config{Services: []config.Service{service}, Routes: []config.Route{{Name: "r", Service: "s", PathPrefix: "/"}}}
+	table := NewTable(c, nil, newRand())
+	target, _ := table.Match("", "/")
+	for range 100 {
+		assert.Equal(t, target.Version("v2"), config.VersionName("v1"))
+	}
+	versions := map[config.VersionName]int{}
+	for range 100 {
+		// The baseline can't be taken out.
+		versions[target.Version("v1")]++
+	}
+	assert.Assert(t, versions["v1"] > 40 && versions["v2"] > 40)
+}
+
+func upstream(i int, zone membership.Zone, region membership.Region) membership.Member {
+	return membership.Member{
+		ID: membership.NodeID(fmt.Sprint(zone, i)), Incarnation: 1, State: membership.Serving,
+		Zone: zone, Region: region, Service: "s", Version: "v1", Slots: 2,
+	}
+}
+
+func TestOwnZoneFirstThenSpill(t *testing.T) {
+	p := NewPool("a", "r1")
+	p.Update([]membership.Member{
+		upstream(0, "a", "r1"), upstream(1, "a", "r1"),
+		upstream(0, "b", "r1"), upstream(0, "c", "r2"),
+	})
+	var zones []membership.Zone
+	for range 8 {
+		e, ok := p.Choose(_start, "s", "v1", nil)
+		assert.Assert(t, ok)
+		e.Begin()
+		zones = append(zones, e.Member.Zone)
+	}
+	assert.DeepEqual(t, zones, []membership.Zone{"a", "a", "a", "a", "b", "b", "c", "c"})
+	// With all full the own zone waits.
+	e, _ := p.Choose(_start, "s", "v1", nil)
+	assert.Equal(t, e.Member.Zone, membership.Zone("a"))
+}
+
+func TestLoadFades(t *testing.T) {
+	p := NewPool("a", "r1")
+	p.Update([]membership.Member{upstream(0, "a", "r1"), upstream(1, "a", "r1")})
+	busy, _ := p.Choose(_start, "s", "v1", nil)
+	// An upstream that lies about its load is avoided for a while only.
+	busy.Loaded(_start, 1_000_000)
+	for range 20 {
+		e, _ := p.Choose(_start, "s", "v1", nil)
+		assert.Assert(t, e != busy)
+	}
+	chosen := 0
+	for range 50 {
+		if e, _ := p.Choose(_start.Add(2*time.Second), "s", "v1", nil); e == busy {
+			chosen++
+		}
+	}
+	assert.Assert(t, chosen > 5, "%d", chosen)
+}
+
+// Failing upstreams are ejected, but never more than half of a zone's, and
+// each gets another chance.
+func TestEjectionHasAFloor(t *testing.T) {
+	p := NewPool("a", "r1")
+	members := []membership.Member{}
+	for i := range 4 {
+		members = append(members, upstream(i, "a", "r1"))
+	}
+	p.Update(members)
+	fail := func(id membership.NodeID) {
+		for _, e := range p.endpoints {
+			if e.Member.ID == id {
+				for range _ejectAfter {
+					e.FailedCall(_start)
+				}
+			}
+		}
+	}
+	seen := func(now time.Time) map[membership.NodeID]bool {
+		all := make(map[membership.NodeID]bool)
+		for range 200 {
+			e, ok := p.Choose(now, "s", "v1", nil)
+			assert.Assert(t, ok)
+			all[e.Member.ID] = true
+		}
+		return all
+	}
+	fail("a0")
+	fail("a1")
+	assert.Equal(t, len(seen(_start)), 2)
+	fail("a2")
+	fail("a3")
+	assert.Equal(t, len(seen(_start)), 4)
+	assert.Equal(t, len(seen(_start.Add(_ejectFor))), 4)
+}
+
+func TestTriedAndGoneAreNotChosen(t *testing.T) {
+	p := NewPool("a", "r1")
+	draining := upstream(0, "a", "r1")
+	draining.State = membership.Draining
+	p.Update([]membership.Member{draining, upstream(1, "a", "r1")})
+	e, ok := p.Choose(_start, "s", "v1", nil)
+	assert.Assert(t, ok)
+	assert.Equal(t, e.Member.ID, membership.NodeID("a1"))
+	_, ok = p.Choose(_start, "s", "v1", []*Endpoint{e})
+	assert.Assert(t, !ok)
+	// What was learnt of an upstream outlives an update.
+	e.Begin()
+	p.Update([]membership.Member{draining, upstream(1, "a", "r1")})
+	same, _ := p.Choose(_start, "s", "v1", nil)
+	assert.Assert(t, same == e)
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{2, 7, 40} {
+		b.Run(fmt.Sprint("upstreams=", n), func(b *testing.B) {
+			p := NewPool("a", "r1")
+			var members []membership.Member
+			for i := range n {
+				members = append(members, upstream(i, "a", "r1"))
+			}
+			p.Update(members)
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Choose(_start, "s", "v1", nil)
+			}
+		})
+	}
+}
