control: Test that a paused controller can't undo a rollback

Cause: breaking the code on purpose showed that four checks were not covered: the guard of a commit, the revision that a rollback always makes, the margin of a lease and the floor of ejection. Change: a test that puts a controller to sleep before each of its calls while another takes over and rolls back; longer pauses for lease holders; faults that last longer than a stage, during which no share may rise.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -156,7 +156,7 @@
 
 func (w *world) plan(operation string) (rollout.Rollout, error) {
 	return w.operations.Plan(context.Background(), rollout.Intent{
-		Service: "s", Version: "v2", Share: config.FullShare, Deadline: time.Now().Add(10 * time.Minute),
+		Service: "s", Version: "v2", Share: config.FullShare, Deadline: time.Now().Add(3 * time.Minute),
 		Operator: "ann", Operation: operation,
 	})
 }
@@ -230,21 +230,23 @@
 	name  string
 	begin func(*world)
 	end   func(*world)
+	// holds is set where no further stage may begin meanwhile.
+	holds bool
 }
 
 var _faults = []faulty{
-	{"platform down", func(w *world) { w.platform.SetFaults(fakeplatform.Faults{Down: true}) }, func(w *world) { w.platform.SetFaults(fakeplatform.Faults{}) }},
-	{"answers lost", func(w *world) { w.platform.SetFaults(fakeplatform.Faults{LoseAnswers: true}) }, func(w *world) { w.platform.SetFaults(fakeplatform.Faults{}) }},
-	{"platform slow", func(w *world) { w.platform.SetFaults(fakeplatform.Faults{Delay: 2 * time.Second}) }, func(w *world) { w.platform.SetFaults(fakeplatform.Faults{}) }},
-	{"controller dead", func(w *world) { w.controllers = w.controllers[1:] }, func(*world) {}},
-	{"controller paused", func(w *world) { w.controllers[0], w.controllers[1] = w.controllers[1], w.controllers[0] }, func(*world) {}},
+	{"platform down", func(w *world) { w.platform.SetFaults(fakeplatform.Faults{Down: true}) }, func(w *world) { w.platform.SetFaults(fakeplatform.Faults{}) }, false},
+	{"answers lost", func(w *world) { w.platform.SetFaults(fakeplatform.Faults{LoseAnswers: true}) }, func(w *world) { w.platform.SetFaults(fakeplatform.Faults{}) }, false},
+	{"platform slow", func(w *world) { w.platform.SetFaults(fakeplatform.Faults{Delay: 2 * time.Second}) }, func(w *world) { w.platform.SetFaults(fakeplatform.Faults{}) }, false},
+	{"controller dead", func(w *world) { w.controllers = w.controllers[1:] }, func(*world) {}, false},
+	{"controller paused", func(w *world) { w.controllers[0], w.controllers[1] = w.controllers[1], w.controllers[0] }, func(*world) {}, false},
 	{"lease object lost", func(w *world) {
 		if o, err := w.platform.Get(context.Background(), LeaseKey); err == nil {
 			w.platform.Delete(context.Background(), LeaseKey, o.Version)
 		}
-	}, func(*world) {}},
-	{"fleet behind", func(w *world) { w.lag = 1 }, func(w *world) { w.lag = 0 }},
-	{"evidence silent", func(w *world) { w.silent = true }, func(w *world) { w.silent = false }},
+	}, func(*world) {}, false},
+	{"fleet behind", func(w *world) { w.lag = 1 }, func(w *world) { w.lag = 0 }, true},
+	{"evidence silent", func(w *world) { w.silent = true }, func(w *world) { w.silent = false }, true},
 }
 
 // TestFaultAtEachTransition brings each fault about just before each
@@ -274,10 +276,17 @@
 			if bad {
 				w.bad = true
 			}
-			for range 25 {
+			rises := 0
+			for range 80 {
 				w.steps(1)
+				before := highest
 				highest = w.watch(t, highest)
+				if highest > before {
+					rises++
+				}
 			}
+			// One rise may have been decided on before.
+			assert.Assert(t, !f.holds || rises <= 1, "the share rose %d times", rises)
 			f.end(w)
 			seen++
 		}
@@ -405,6 +414,42 @@
 	assert.Equal(t, w.share(), want)
 }
 
+// A controller that sleeps before any of its calls, while another takes over
+// and takes the rollout back, brings no share back when it wakes.
+func TestPausedControllerCantUndoARollback(t *testing.T) {
+	for at := range 24 {
+		t.Run(fmt.Sprint("call ", at), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 2)
+				w.steps(2)
+				planned := w.start(t)
+				sleeper, other := w.controllers[0], w.controllers[1]
+				calls := 0
+				w.meddle = func() {
+					calls++
+					if calls != at {
+						return
+					}
+					w.meddle = func() {}
+					w.controllers = []*Controller{other}
+					_, err := w.operations.Rollback(context.Background(), Word{ID: planned.ID, Operator: "bob", Operation: "rollback-0"})
+					assert.NilError(t, err)
+					w.until(t, rollout.RolledBack)
+					assert.Equal(t, w.share(), config.Share(0))
+				}
+				for range 6 {
+					_ = sleeper.Step(context.Background())
+					time.Sleep(time.Second)
+				}
+				r, _ := w.stored()
+				if r.State == rollout.RolledBack {
+					assert.Equal(t, w.share(), config.Share(0), "the sleeper brought a share back")
+				}
+			})
+		})
+	}
+}
+
 // Racing operators: one wins, and the other is told plainly.
 func TestRacingOperators(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -33,6 +33,8 @@
 type candidate struct {
 	lease *Lease
 	skew  time.Duration
+	// asleep is until when the candidate does nothing.
+	asleep time.Time
 }
 
 // step lets the candidate act and returns whether it wrote.
@@ -80,7 +82,10 @@
 			for range steps {
 				now = now.Add(time.Duration(rapid.IntRange(50, 700).Draw(t, "pass")) * time.Millisecond)
 				for _, c := range candidates {
-					if trouble && rapid.IntRange(0, 9).Draw(t, "paused") < 4 {
+					if trouble && rapid.IntRange(0, 19).Draw(t, "sleeps") == 0 {
+						c.asleep = now.Add(time.Duration(rapid.IntRange(1, 30).Draw(t, "sleep")) * time.Second)
+					}
+					if trouble && now.Before(c.asleep) {
 						continue
 					}
 					c.step(now, o, trouble && rapid.IntRange(0, 9).Draw(t, "down") == 0, trouble && rapid.IntRange(0, 9).Draw(t, "lose") == 0)
--- a/revision/revision_test.go
+++ b/revision/revision_test.go
@@ -192,6 +192,21 @@
 	return chain
 }
 
+func TestHolderNeverGoesBack(t *testing.T) {
+	chain := build(t, numbered(0), numbered(1), numbered(2))
+	h := revision.NewHolder()
+	assert.Equal(t, h.Offer(chain[1]), revision.Applied)
+	assert.Equal(t, h.Offer(chain[0]), revision.Stale)
+	assert.Equal(t, h.Offer(chain[1]), revision.Stale)
+	assert.Equal(t, h.Number(), uint64(2))
+	changed := h.Changed()
+	assert.Equal(t, h.Offer(chain[2]), revision.Applied)
+	<-changed
+	// What was refused before is no longer of interest.
+	h.Refuse(2, "old")
+	assert.Equal(t, h.Refusal().Number, uint64(0))
+}
+
 // Whatever order, doubling, loss or corruption bundles arrive in, a replica
 // never goes back, never holds anything but a committed revision, and ends at
 // the newest when it is handed over whole.
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -167,6 +167,7 @@
 	fail("a1")
 	assert.Equal(t, len(seen(_start)), 2)
 	fail("a2")
+	assert.Equal(t, len(seen(_start)), 4)
 	fail("a3")
 	assert.Equal(t, len(seen(_start)), 4)
 	assert.Equal(t, len(seen(_start.Add(_ejectFor))), 4)
