--- a/commands/commands.go
+++ b/commands/commands.go
@@ -76,6 +76,9 @@
 		_, _ = fmt.Fprint(env.Stdout, ffhelp.Command(selected(root)))
 		return ExitDone
 	}
+	if errors.Is(err, ff.ErrNoExec) {
+		err = notACommand(selected(root))
+	}
 	code := exitCode(err)
 	if code != ExitRolledBack {
 		_, _ = fmt.Fprintln(env.Stderr, "lentilferry:", message(err))
@@ -86,6 +89,14 @@
 	return code
 }
 
+// notACommand says what is wrong with a command line that names no command.
+func notACommand(parent *ff.Command) error {
+	if args := parent.Flags.GetArgs(); len(args) > 0 {
+		return errors.Wrapf(errUsage, "%q is not a command of %s", args[0], parent.Name)
+	}
+	return errors.Wrapf(errUsage, "%s needs a command", parent.Name)
+}
+
 func selected(root *ff.Command) *ff.Command {
 	if command := root.GetSelected(); command != nil {
 		return command
@@ -116,7 +127,7 @@
 	switch {
 	case errors.Is(err, errRolledBack):
 		return ExitRolledBack
-	case errors.Is(err, errUsage), errors.Is(err, ff.ErrNoExec), errors.Is(err, ff.ErrUnknownFlag):
+	case errors.Is(err, errUsage), errors.Is(err, ff.ErrUnknownFlag):
 		return ExitUsage
 	case !errors.As(err, &remote):
 		return ExitUsage
--- /dev/null
+++ b/commands/commands_test.go
@@ -0,0 +1,181 @@
+package commands
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lentilferry.example/lentilferry/control"
+	"lentilferry.example/lentilferry/internal/fakes/fakeplatform"
+	"lentilferry.example/lentilferry/membership"
+	"lentilferry.example/lentilferry/operator"
+	"lentilferry.example/lentilferry/revision"
+	"lentilferry.example/lentilferry/wire"
+)
+
+const _document = `
+services:
+  - {name: desk, weights: [{version: v1, share: 100}]}
+versions:
+  - {service: desk, name: v1}
+  - {service: desk, name: v2}
+routes:
+  - {name: slips, service: desk, pathPrefix: /, class: lookup, timeout: 2s}
+policies:
+  - {service: desk, stages: [5, 100], minDwell: 10s, convergenceAllowance: 5s}
+`
+
+// fakeNode is a node that has no sockets of its own.
+type fakeNode struct {
+	platform   *fakeplatform.Platform
+	operations *control.Operations
+	holder     *revision.Holder
+	table      *membership.Table
+}
+
+func (n *fakeNode) Operations() *control.Operations { return n.operations }
+func (n *fakeNode) Holder() *revision.Holder        { return n.holder }
+func (n *fakeNode) Members() *membership.Table      { return n.table }
+func (n *fakeNode) InForce(now time.Time) membership.InForce {
+	return membership.ComputeInForce(n.table.Members(), n.table.Digests(now), time.Minute)
+}
+
+// desk is an operator's place: a node to ask and files to send.
+type desk struct {
+	t    *testing.T
+	node *fakeNode
+	url  string
+	dir  string
+}
+
+func newDesk(t *testing.T) *desk {
+	t.Helper()
+	n := &fakeNode{platform: fakeplatform.New(), holder: revision.NewHolder()}
+	self := membership.Member{ID: "n1", Incarnation: 1, State: membership.Serving, Zone: "a", Service: "desk", Version: "v1", Slots: 4}
+	n.table = membership.New(membership.DefaultTiming(), self, rand.New(rand.NewPCG(1, 1)), time.Now())
+	candidate := self
+	candidate.ID, candidate.Version = "n2", "v2"
+	n.table.Merge(time.Now(), candidate)
+	n.operations = control.NewOperations(control.OperationsDependencies{
+		Platform: n.platform, Committer: revision.NewCommitter(n.platform, wire.Codec{}, n.holder),
+		Codec: wire.Codec{}, Holder: n.holder, Members: n.table, Now: time.Now,
+	})
+	mux := http.NewServeMux()
+	mux.Handle(operator.New(n, time.Now).Handler())
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	d := &desk{t: t, node: n, url: strings.TrimPrefix(server.URL, "http://"), dir: t.TempDir()}
+	d.file("mesh.yaml", _document)
+	return d
+}
+
+func (d *desk) file(name, text string) string {
+	path := filepath.Join(d.dir, name)
+	assert.NilError(d.t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+// run runs the command line and returns its exit code and all it said.
+func (d *desk) run(args ...string) (int, string) {
+	var out bytes.Buffer
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	code := Run(ctx, Environment{Stdout: &out, Stderr: &out, Transport: &http.Transport{DisableKeepAlives: true}, Now: time.Now},
+		append([]string{"--nodes", d.url, "--operator", "ann"}, args...))
+	return code, out.String()
+}
+
+func (d *desk) want(code int, text string, args ...string) string {
+	d.t.Helper()
+	got, out := d.run(args...)
+	assert.Equal(d.t, got, code, out)
+	assert.Assert(d.t, strings.Contains(out, text), "%q is not in:\n%s", text, out)
+	return out
+}
+
+func TestAnOperatorsNight(t *testing.T) {
+	d := newDesk(t)
+	mesh := filepath.Join(d.dir, "mesh.yaml")
+	d.want(ExitRefused, "the node has no configuration yet; apply one", "config", "get")
+	d.want(ExitDone, "is valid", "config", "validate", mesh)
+	d.want(ExitDone, "Nothing was changed", "config", "diff", mesh)
+	d.want(ExitDone, "Accepted as revision 1", "config", "apply", mesh)
+	d.want(ExitDone, "No difference from revision 1", "config", "apply", mesh)
+	d.want(ExitDone, "pathPrefix: /", "config", "get")
+	d.want(ExitDone, "No rollouts", "status")
+	d.want(ExitDone, "serving", "members")
+
+	d.want(ExitRefused, `service: "disk" does not exist`, "plan", "--service", "disk", "--to", "v2", "--by", "1h")
+	d.want(ExitRefused, `version: "v3" is not a version of desk`, "plan", "--service", "desk", "--to", "v3", "--by", "1h")
+	d.want(ExitRefused, "the earliest deadline is", "plan", "--service", "desk", "--to", "v2", "--by", "10s")
+	out := d.want(ExitDone, "Nothing has changed yet. Next: lentilferry confirm", "plan", "--service", "desk", "--to", "v2", "--by", "1h")
+	id := strings.Fields(out[strings.Index(out, "lentilferry confirm ")+len("lentilferry confirm "):])[0]
+	id = strings.TrimSuffix(id, ",")
+	d.want(ExitRefused, "waits for confirmation", "plan", "--service", "desk", "--to", "v2", "--by", "1h")
+	d.want(ExitRefused, "can't be rolled back; a planned one can be rejected", "rollback", id)
+	d.want(ExitDone, "The system moves desk to v2 now", "confirm", id)
+	d.want(ExitRefused, "is running", "reject", id)
+	d.want(ExitDone, "is running", "status", "--service", "desk")
+	d.want(ExitDone, `"state": "ROLLOUT_STATE_RUNNING"`, "--output", "json", "status")
+	d.want(ExitDone, "state: ROLLOUT_STATE_RUNNING", "status", "--output", "yaml")
+	d.want(ExitDone, "gets all traffic of desk again", "rollback", id)
+	d.want(ExitRefused, "is not the last one", "confirm", "desk.00000000")
+}
+
+func TestPlatformTrouble(t *testing.T) {
+	d := newDesk(t)
+	mesh := filepath.Join(d.dir, "mesh.yaml")
+	d.want(ExitDone, "Accepted", "config", "apply", mesh)
+	d.node.platform.SetFaults(fakeplatform.Faults{Down: true})
+	d.want(ExitDone, "The platform can't be read", "status")
+	d.want(ExitUnavailable, "not reached, nothing was changed", "plan", "--service", "desk", "--to", "v2", "--by", "1h")
+	d.want(ExitUnavailable, "not reached, nothing was changed", "config", "diff", mesh)
+}
+
+func TestWrongUse(t *testing.T) {
+	d := newDesk(t)
+	for _, test := range []struct {
+		text string
+		args []string
+	}{
+		{"give --service, --to and --by", []string{"plan"}},
+		{"is neither a duration such as 45m nor a time", []string{"plan", "--service", "desk", "--to", "v2", "--by", "soon"}},
+		{"is past", []string{"plan", "--service", "desk", "--to", "v2", "--by", "2001-01-01T00:00:00Z"}},
+		{"is not a share", []string{"plan", "--service", "desk", "--to", "v2", "--by", "1h", "--share", "120"}},
+		{"give one rollout; 0 given", []string{"confirm"}},
+		{"can't read the file", []string{"config", "apply", "/does/not/exist"}},
+		{"--nodes", []string{"--nodes", "localhost", "status"}},
+		{`"frobnicate" is not a command of lentilferry`, []string{"frobnicate"}},
+		{"config needs a command", []string{"config"}},
+		{"give one file", []string{"config", "apply"}},
+		{"shares add up to 90%", []string{"config", "validate", d.file("bad.yaml", strings.Replace(_document, "share: 100", "share: 90", 1))}},
+		{"shares add up to 90%", []string{"config", "apply", filepath.Join(d.dir, "bad.yaml")}},
+	} {
+		d.want(ExitUsage, test.text, test.args...)
+	}
+	d.want(ExitDone, "Exit codes", "--help")
+	d.want(ExitDone, "--by", "plan", "--help")
+	d.want(ExitDone, "lentilferry 0", "version")
+}
+
+// A node that takes a request and breaks off leaves the outcome open; one that
+// can't be reached changed nothing, and the next one is asked.
+func TestNodesThatDoNotAnswer(t *testing.T) {
+	d := newDesk(t)
+	breaking := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer breaking.Close()
+	address := strings.TrimPrefix(breaking.URL, "http://")
+	mesh := filepath.Join(d.dir, "mesh.yaml")
+	d.want(ExitUnknown, "the outcome is not known", "--nodes", address, "config", "apply", mesh)
+	d.want(ExitUnavailable, "no node answers at 127.0.0.1:1", "--nodes", "127.0.0.1:1", "config", "apply", mesh)
+	d.want(ExitDone, "Accepted as revision 1", "--nodes", "127.0.0.1:1,"+address+","+d.url, "config", "apply", mesh)
+}
--- a/commands/output.go
+++ b/commands/output.go
@@ -1,6 +1,8 @@
 package commands
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"strings"
 	"text/tabwriter"
@@ -22,19 +24,26 @@
 		_, err := fmt.Fprint(c.env.Stdout, text())
 		return errors.Wrap(err, "write answer")
 	}
-	document, err := protojson.MarshalOptions{Multiline: true, Indent: "  "}.Marshal(answer)
+	document, err := protojson.Marshal(answer)
+	if err == nil && *c.output == "yaml" {
+		document, err = yaml.JSONToYAML(document)
+	} else if err == nil {
+		document, err = indent(document)
+	}
 	if err != nil {
 		return errors.Wrap(err, "format answer")
 	}
-	if *c.output == "yaml" {
-		if document, err = yaml.JSONToYAML(document); err != nil {
-			return errors.Wrap(err, "format answer")
-		}
-	}
 	_, err = fmt.Fprintln(c.env.Stdout, strings.TrimRight(string(document), "\n"))
 	return errors.Wrap(err, "write answer")
 }
 
+// indent lays JSON out the same way each time, which protojson does not.
+func indent(document []byte) ([]byte, error) {
+	var out bytes.Buffer
+	err := json.Indent(&out, document, "", "  ")
+	return out.Bytes(), errors.Wrap(err, "indent")
+}
+
 // table writes rows of cells in columns.
 func table(header string, rows [][]string) string {
 	var text strings.Builder
--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,114 @@
+package config
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"lentilferry.example/lentilferry/internal/testseed"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
+
+const _good = `
+services:
+  - name: desk
+    weights: [{version: v1, share: 99.5}, {version: v2, share: 0.5}]
+versions:
+  - {service: desk, name: v1}
+  - {service: desk, name: v2}
+routes:
+  - {name: slips, service: desk, host: desk.example, pathPrefix: /slips, class: lookup, timeout: 2s}
+policies:
+  - {service: desk, stages: [1, 100], minDwell: 5s, minStageCalls: 0, convergenceAllowance: 1s}
+`
+
+func TestParseAndFormat(t *testing.T) {
+	c, err := ParseYAML([]byte(_good), Config{})
+	assert.NilError(t, err)
+	assert.Equal(t, c.Services[0].ShareOf("v2"), Share(50))
+	assert.Equal(t, c.Policy("desk").MinStageCalls, uint64(0))
+	document, err := FormatYAML(c)
+	assert.NilError(t, err)
+	again, err := ParseYAML(document, c)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again, c)
+}
+
+// Each fault names its field and the way to mend it.
+func TestFaults(t *testing.T) {
+	for _, test := range []struct{ old, new, want string }{
+		{"share: 0.5", "share: 1", "services[desk].weights: shares add up to 100.5%; make them 100%"},
+		{"share: 0.5", "share: -1", "services[desk].weights: -1 is not a share"},
+		{"version: v2", "version: v9", `services[desk].weights: version "v9" does not exist in the service; add it to versions`},
+		{"service: desk, name: v2", "service: disk, name: v2", `versions[disk/v2].service: service "disk" does not exist`},
+		{"service: desk, host", "service: disk, host", `routes[slips].service: service "disk" does not exist`},
+		{"pathPrefix: /slips", "pathPrefix: slips", `routes[slips].pathPrefix: "slips" does not begin with '/'`},
+		{"class: lookup", "class: quick", "routes[slips].class: is not known; use lookup or command"},
+		{"timeout: 2s", "timeout: 2", `routes[slips].timeout: "2" is not a duration; write it as 2s or 500ms`},
+		{"timeout: 2s", "timeout: 3h", "routes[slips].timeout: 3h0m0s is out of range"},
+		{"host: desk.example", "host: Desk:80", `routes[slips].host: "Desk:80" is not a plain host`},
+		{"stages: [1, 100]", "stages: [5, 1, 100]", "policies[desk].stages: do not rise"},
+		{"stages: [1, 100]", "stages: [1, 50]", "policies[desk].stages: end at 50%; let them end at 100"},
+		{"minDwell: 5s", "minDwell: 0s", "policies[desk].minDwell: 0s is too short"},
+		{"name: v2}", "name: v1}", "versions[desk/v1]: is given twice; remove one"},
+		{"name: slips", "name: a/b", `routes[a/b].name: "a/b" has a character that names may not have`},
+		{"routes:", "roads:", `unknown field "roads"`},
+		{"services:", "services: [", "the document is not a configuration"},
+	} {
+		document := strings.Replace(_good, test.old, test.new, 1)
+		_, err := ParseYAML([]byte(document), Config{})
+		assert.ErrorContains(t, err, test.want)
+	}
+	_, err := ParseYAML(make([]byte, MaxDocumentBytes+1), Config{})
+	assert.ErrorContains(t, err, "document: has 1048577 bytes")
+}
+
+// Only a rollout moves traffic: a document leaves the shares as they are.
+func TestDocumentKeepsShares(t *testing.T) {
+	current, err := ParseYAML([]byte(_good), Config{})
+	assert.NilError(t, err)
+	current.Services[0].Rollout = RolloutMark{ID: "x", Baseline: "v1", Candidate: "v2"}
+	without := strings.Replace(_good, "    weights: [{version: v1, share: 99.5}, {version: v2, share: 0.5}]\n", "", 1)
+	c, err := ParseYAML([]byte(without), current)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, c.Services, current.Services)
+	_, err = ParseYAML([]byte(strings.NewReplacer("99.5", "90", "0.5", "10").Replace(_good)), current)
+	assert.ErrorContains(t, err, "differ from the shares in force; leave weights out and move traffic with 'lentilferry plan'")
+	// A version that a rollout needs can't be removed under it.
+	removed := strings.Replace(without, "  - {service: desk, name: v2}\n", "", 1)
+	_, err = ParseYAML([]byte(removed), current)
+	assert.ErrorContains(t, err, `rollout x needs version "v2"`)
+}
+
+func TestSplit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		share := Share(rapid.IntRange(0, int(FullShare)).Draw(t, "share"))
+		s := Service{Name: "s", Weights: Split("b", rapid.SampledFrom([]VersionName{"a", "c"}).Draw(t, "candidate"), share)}
+		var sum Share
+		for i, w := range s.Weights {
+			sum += w.Share
+			assert.Assert(t, w.Share > 0)
+			assert.Assert(t, i == 0 || s.Weights[i-1].Version < w.Version)
+		}
+		assert.Equal(t, sum, FullShare)
+		assert.Equal(t, s.ShareOf("b"), FullShare-share)
+	})
+}
+
+func FuzzParseYAML(f *testing.F) {
+	f.Add(_good)
+	f.Add("services: {}")
+	f.Fuzz(func(t *testing.T, document string) {
+		c, err := ParseYAML([]byte(document), Config{})
+		if err == nil {
+			assert.Equal(t, len(Check(c)), 0)
+			for _, r := range c.Routes {
+				assert.Assert(t, r.Timeout > 0 && r.Timeout <= 2*time.Minute)
+			}
+		}
+	})
+}
--- a/identity/record_test.go
+++ b/identity/record_test.go
@@ -31,6 +31,7 @@
 				claimed[id] = now
 			case Duplicate:
 				assert.Assert(t, before && now.Sub(at) < 3*lifetime)
+			default:
 			}
 			assert.Assert(t, r.Len() <= 2*most)
 		}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -61,6 +61,7 @@
 		} else {
 			c.lease.Failed()
 		}
+	default:
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -152,6 +152,11 @@
 	rndMu sync.Mutex
 	rnd   *rand.Rand
 
+	// toUpstream carries calls and checks to the node's own upstream.
+	toUpstream http.RoundTripper
+	// transports are closed when the node ends.
+	transports []*http.Transport
+
 	drained chan struct{}
 	stop    sync.Once
 }
@@ -215,6 +220,7 @@
 func (n *Node) buildPeers() {
 	transport := call.NewPeerTransport()
 	transport.DialContext = n.control.Dial(transport.DialContext)
+	n.transports = append(n.transports, transport)
 	n.clients = peer.NewClients(transport)
 	n.gossip = peer.NewGossip(peer.GossipDependencies{
 		Table:       n.table,
@@ -229,11 +235,14 @@
 
 func (n *Node) buildCalls(now time.Time) {
 	slots := max(1, n.d.Upstream.Slots)
+	toUpstream, toPeers := call.NewUpstreamTransport(slots), call.NewPeerTransport()
+	n.toUpstream = toUpstream
+	n.transports = append(n.transports, toUpstream, toPeers)
 	n.gate = admission.New(admission.DefaultLimits(slots))
 	n.owner = call.NewOwner(call.OwnerDependencies{
 		Self:      n.table.Self,
 		Upstream:  n.d.Upstream.Address,
-		Transport: call.NewUpstreamTransport(slots),
+		Transport: toUpstream,
 		Gate:      n.gate,
 		Record:    identity.New(now, config.MaxTimeout, _identitiesMost),
 		Observer:  n.recorder,
@@ -243,7 +252,7 @@
 	n.ingress = call.NewIngress(call.IngressDependencies{
 		Routes:    n,
 		Endpoints: n.pool,
-		Transport: call.NewPeerTransport(),
+		Transport: toPeers,
 		Budgets:   retry.NewBudgets[config.ServiceName](retry.DefaultLimits()),
 		Metrics:   call.NewMetrics(n.vars, "ingress"),
 		Logger:    n.d.Logger,
@@ -323,6 +332,9 @@
 	group.Go(func() error { return n.shutdown(ctx, cancel, servers) })
 	n.loops(ctx, group)
 	err := group.Wait()
+	for _, transport := range n.transports {
+		transport.CloseIdleConnections()
+	}
 	if errors.Is(err, errStopped) {
 		return nil
 	}
--- /dev/null
+++ b/node/node_integration_test.go
@@ -0,0 +1,331 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+	"k8s.io/klog/v2"
+
+	"lentilferry.example/lentilferry/call"
+	"lentilferry.example/lentilferry/internal/fakes/fakeplatform"
+	"lentilferry.example/lentilferry/internal/fakes/fakeupstream"
+	"lentilferry.example/lentilferry/lease"
+	"lentilferry.example/lentilferry/membership"
+	"lentilferry.example/lentilferry/node"
+	"lentilferry.example/lentilferry/platform"
+	"lentilferry.example/lentilferry/revision"
+	"lentilferry.example/lentilferry/wire"
+)
+
+// _patience bounds every wait; it decides nothing but when to give up.
+const _patience = 30 * time.Second
+
+const _document = `
+services:
+  - {name: desk, weights: [{version: v1, share: 100}]}
+versions:
+  - {service: desk, name: v1}
+routes:
+  - {name: slips, service: desk, pathPrefix: /slips, class: lookup, timeout: 5s}
+  - {name: batches, service: desk, pathPrefix: /batches, class: command, timeout: 5s}
+`
+
+type mesh struct {
+	t        *testing.T
+	platform *fakeplatform.Platform
+	base     *url.URL
+	nodes    map[string]*running
+}
+
+type running struct {
+	*node.Node
+	id       string
+	calls    string
+	peer     netip.AddrPort
+	upstream *fakeupstream.Upstream
+	address  netip.AddrPort
+	cancel   context.CancelFunc
+	done     chan struct{}
+}
+
+func newMesh(t *testing.T) *mesh {
+	t.Helper()
+	before := goleak.IgnoreCurrent()
+	t.Cleanup(func() { goleak.VerifyNone(t, before) })
+	m := &mesh{t: t, platform: fakeplatform.New(), nodes: make(map[string]*running)}
+	server := httptest.NewServer(m.platform.Handler())
+	m.base, _ = url.Parse(server.URL)
+	t.Cleanup(func() {
+		for _, n := range m.nodes {
+			n.cancel()
+			<-n.done
+		}
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return m
+}
+
+func (m *mesh) start(id string, zone membership.Zone) *running {
+	upstream := fakeupstream.New("v1", time.Millisecond)
+	server := httptest.NewServer(upstream)
+	m.t.Cleanup(server.Close)
+	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	return m.startWith(id, zone, upstream, address)
+}
+
+func (m *mesh) startWith(id string, zone membership.Zone, upstream *fakeupstream.Upstream, address netip.AddrPort, seeds ...netip.AddrPort) *running {
+	var l node.Listeners
+	for _, into := range []*net.Listener{&l.Calls, &l.Peers, &l.Admin} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(m.t, err)
+		*into = listener
+	}
+	transport := &http.Transport{}
+	periods := node.DefaultPeriods()
+	periods.Gossip, periods.Zones, periods.Health, periods.Control = 50*time.Millisecond, 100*time.Millisecond, 50*time.Millisecond, 100*time.Millisecond
+	peer := netip.MustParseAddrPort(l.Peers.Addr().String())
+	n := node.New(node.Dependencies{
+		ID: membership.NodeID(id), Region: "r", Zone: zone, Peer: peer, Seeds: seeds,
+		Upstream: node.Upstream{Service: "desk", Version: "v1", Address: address, HealthPath: "/healthz", Slots: 8, Warmup: 50 * time.Millisecond},
+		Periods:  periods, Membership: membership.DefaultTiming(), Lease: lease.DefaultTiming(),
+		Platform:  platform.NewHTTPClient(platform.HTTPDependencies{Base: m.base, Transport: transport, CallTimeout: time.Second, WatchTimeout: time.Second}),
+		Listeners: l, Logger: klog.Logger{}, Now: time.Now,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{
+		Node: n, id: id, calls: "http://" + l.Calls.Addr().String(), peer: peer,
+		upstream: upstream, address: address, cancel: cancel, done: make(chan struct{}),
+	}
+	go func() {
+		defer close(r.done)
+		defer transport.CloseIdleConnections()
+		assert.Check(m.t, n.Run(ctx) == nil)
+	}()
+	m.nodes[id] = r
+	return r
+}
+
+func (m *mesh) until(what string, holds func() bool) {
+	m.t.Helper()
+	for end := time.Now().Add(_patience); !holds(); time.Sleep(10 * time.Millisecond) {
+		assert.Assert(m.t, time.Now().Before(end), "not in %s: %s", _patience, what)
+	}
+}
+
+// serving reports whether a node sees as many upstreams that take work.
+func (r *running) serving(n int) func() bool {
+	return func() bool {
+		count := 0
+		for _, member := range r.Members().Members() {
+			if member.State.TakesWork() && !member.Suspected {
+				count++
+			}
+		}
+		return count == n && r.Table() != nil
+	}
+}
+
+func (m *mesh) apply(r *running) {
+	m.t.Helper()
+	_, err := r.Operations().Apply(context.Background(), []byte(_document), "test", "apply", false)
+	assert.NilError(m.t, err)
+}
+
+// load sends calls through some nodes until it is stopped, and counts them.
+type load struct {
+	client   *http.Client
+	stop     chan struct{}
+	group    sync.WaitGroup
+	answered atomic.Int64
+	notRun   atomic.Int64
+	unknown  atomic.Int64
+	cut      atomic.Int64
+}
+
+func startLoad(nodes ...*running) *load {
+	l := &load{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}, stop: make(chan struct{})}
+	for worker := range 6 {
+		l.group.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-l.stop:
+					return
+				default:
+				}
+				l.call(nodes[(i+worker)%len(nodes)], fmt.Sprint(worker, "-", i), i%3 == 0)
+			}
+		})
+	}
+	return l
+}
+
+func (l *load) call(n *running, id string, command bool) {
+	method, path := http.MethodGet, "/slips"
+	if command {
+		method, path = http.MethodPost, "/batches"
+	}
+	request, _ := http.NewRequestWithContext(context.Background(), method, n.calls+path, strings.NewReader(id))
+	request.Header.Set(fakeupstream.HeaderRequest, id)
+	response, err := l.client.Do(request)
+	if err != nil {
+		l.cut.Add(1)
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	switch outcome := response.Header.Get(call.HeaderOutcome); {
+	case err != nil:
+		l.cut.Add(1)
+	case outcome == call.NotRun.String():
+		l.notRun.Add(1)
+	case outcome == call.Unknown.String():
+		l.unknown.Add(1)
+	case string(body) != id || response.Header.Get(fakeupstream.HeaderRequest) != id:
+		panic("an answer for another's request: " + string(body))
+	default:
+		l.answered.Add(1)
+	}
+}
+
+func (l *load) end() {
+	close(l.stop)
+	l.group.Wait()
+	l.client.CloseIdleConnections()
+}
+
+// noDoubles checks that each command ran at most once over all upstreams.
+func (m *mesh) noDoubles(upstreams ...*fakeupstream.Upstream) {
+	m.t.Helper()
+	runs := make(map[string]int)
+	for _, u := range upstreams {
+		for id, n := range u.Runs() {
+			runs[id] += n
+		}
+	}
+	assert.Assert(m.t, len(runs) > 0)
+	for id, n := range runs {
+		assert.Assert(m.t, n == 1, "command %s ran %d times", id, n)
+	}
+}
+
+// A planned stop cuts nothing in flight and its upstream gets no new work.
+func TestPlannedStop(t *testing.T) {
+	m := newMesh(t)
+	a, b := m.start("a1", "a"), m.start("a2", "a")
+	m.apply(a)
+	m.until("both serve", func() bool { return a.serving(2)() && b.serving(2)() })
+	l := startLoad(a)
+	m.until("calls flow", func() bool { return l.answered.Load() > 200 })
+	b.Stop()
+	<-b.done
+	before := len(b.upstream.Runs())
+	answered := l.answered.Load()
+	m.until("calls go on", func() bool { return l.answered.Load() > answered+200 })
+	l.end()
+	assert.Equal(t, len(b.upstream.Runs()), before)
+	assert.Equal(t, l.cut.Load()+l.unknown.Load()+l.notRun.Load(), int64(0), "cut %d, unknown %d, not run %d", l.cut.Load(), l.unknown.Load(), l.notRun.Load())
+	m.noDoubles(a.upstream, b.upstream)
+	left, _ := a.Members().Member("a", "a2")
+	assert.Equal(t, left.State, membership.Left)
+}
+
+// A node that dies loses at most what it had; nothing runs twice, and the
+// others go on.
+func TestKilledNode(t *testing.T) {
+	m := newMesh(t)
+	a, b, c := m.start("a1", "a"), m.start("a2", "a"), m.start("a3", "a")
+	m.apply(a)
+	m.until("all serve", func() bool { return a.serving(3)() && c.serving(3)() })
+	l := startLoad(a, c)
+	m.until("calls flow", func() bool { return l.answered.Load() > 200 })
+	b.cancel()
+	<-b.done
+	m.until("it is found out", func() bool {
+		member, _ := a.Members().Member("a", "a2")
+		return member.Suspected || member.State == membership.Failed
+	})
+	answered := l.answered.Load()
+	m.until("calls go on", func() bool { return l.answered.Load() > answered+200 })
+	l.end()
+	assert.Equal(t, l.cut.Load(), int64(0))
+	m.noDoubles(a.upstream, b.upstream, c.upstream)
+}
+
+// While the platform is down calls flow, and a node that starts with nothing
+// takes its configuration from its peers.
+func TestPlatformDown(t *testing.T) {
+	m := newMesh(t)
+	a, b := m.start("a1", "a"), m.start("b1", "b")
+	m.apply(a)
+	m.until("both serve", func() bool { return a.serving(2)() && b.serving(2)() })
+	m.platform.SetFaults(fakeplatform.Faults{Down: true})
+	l := startLoad(a, b)
+	b.cancel()
+	<-b.done
+	fresh := m.startWith("b1", "b", b.upstream, b.address, a.peer)
+	m.until("the new node serves", fresh.serving(2))
+	assert.Equal(t, fresh.Holder().Number(), a.Holder().Number())
+	l.end()
+	_, err := a.Operations().Apply(context.Background(), []byte(_document), "test", "apply-2", true)
+	assert.ErrorContains(t, err, "platform unavailable")
+	m.noDoubles(a.upstream, b.upstream)
+}
+
+// A node without any configuration says not run.
+func TestNoConfiguration(t *testing.T) {
+	m := newMesh(t)
+	a := m.start("a1", "a")
+	l := &load{client: &http.Client{}}
+	for end := time.Now().Add(_patience); l.notRun.Load() == 0 && time.Now().Before(end); {
+		l.call(a, "x", true)
+	}
+	assert.Equal(t, l.notRun.Load(), int64(1))
+	assert.Equal(t, len(a.upstream.Runs()), 0)
+	l.client.CloseIdleConnections()
+}
+
+// What the head holds wrongly is refused whole and named, and the next good
+// one goes through.
+func TestBadHead(t *testing.T) {
+	m := newMesh(t)
+	a := m.start("a1", "a")
+	m.apply(a)
+	m.until("it serves", a.serving(1))
+	good := a.Holder().Current()
+	bad := good.Manifest
+	bad.Number = 2
+	bad.Entries = slices.DeleteFunc(slices.Clone(bad.Entries), func(e revision.Entry) bool { return e.Key.Kind == revision.KindVersion })
+	m.writeHead(bad)
+	m.until("it is refused", func() bool { return a.Holder().Refusal().Number == 2 })
+	assert.Equal(t, a.Holder().Number(), uint64(1))
+	assert.Assert(t, strings.Contains(a.Holder().Refusal().Reason, `version "v1" does not exist`), a.Holder().Refusal().Reason)
+	next := good.Manifest
+	next.Number = 3
+	m.writeHead(next)
+	m.until("the next good one is in force", func() bool { return a.Members().Self().Revision == 3 })
+	assert.Equal(t, a.Holder().Refusal().Number, uint64(0))
+}
+
+func (m *mesh) writeHead(manifest revision.Manifest) {
+	m.t.Helper()
+	value, err := wire.Codec{}.EncodeManifest(manifest)
+	assert.NilError(m.t, err)
+	head, err := m.platform.Get(context.Background(), revision.HeadKey)
+	assert.NilError(m.t, err)
+	assert.Equal(m.t, m.platform.Update(context.Background(), revision.HeadKey, head.Version, value).Result, platform.Written)
+}
--- a/node/steps.go
+++ b/node/steps.go
@@ -118,7 +118,7 @@
 		return errors.Wrap(err, "build health check")
 	}
 	request.Close = true
-	response, err := http.DefaultTransport.RoundTrip(request)
+	response, err := n.toUpstream.RoundTrip(request)
 	if err != nil {
 		return errors.Wrap(err, "check upstream")
 	}
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -37,6 +37,8 @@
 	// _dwellPart is the part of the time to the deadline that stages use;
 	// the rest makes up for trouble on the way.
 	_dwellPart = 0.6
+	// _dwellUnit is what the time of a stage is rounded down to.
+	_dwellUnit = 100 * time.Millisecond
 	// _longestDwell bounds the time of a stage.
 	_longestDwell = 30 * time.Minute
 )
@@ -157,7 +159,7 @@
 			count, policy.MinDwell, policy.ConvergenceAllowance, shortest, earliest.Format(time.RFC3339))
 	}
 	dwell := time.Duration(float64(available)*_dwellPart)/count - policy.ConvergenceAllowance
-	dwell = min(max(dwell, policy.MinDwell), _longestDwell)
+	dwell = min(max(dwell.Truncate(_dwellUnit), policy.MinDwell), _longestDwell)
 	stages := make([]Stage, 0, len(shares))
 	for _, s := range shares {
 		stages = append(stages, Stage{Share: s, Dwell: dwell})
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -56,6 +56,16 @@
 	_eventRestore = "restore"
 )
 
+// _participles name the events in refusals.
+var _participles = map[string]string{
+	_eventConfirm: "confirmed",
+	_eventReject:  "rejected; a running one can be rolled back",
+	_eventExpire:  "expired",
+	_eventCondemn: "rolled back; a planned one can be rejected",
+	_eventFinish:  "completed",
+	_eventRestore: "restored",
+}
+
 var _transitions = fsm.Events{
 	{Name: _eventConfirm, Src: []string{string(Planned)}, Dst: string(Running)},
 	{Name: _eventReject, Src: []string{string(Planned)}, Dst: string(Rejected)},
@@ -173,7 +183,7 @@
 func (r *Rollout) fire(now time.Time, event, text string) error {
 	machine := fsm.NewFSM(string(r.State), _transitions, fsm.Callbacks{})
 	if err := machine.Event(context.Background(), event); err != nil {
-		return errors.Wrapf(ErrState, "rollout %s is %s: it can't %s", r.ID, r.State, event)
+		return errors.Wrapf(ErrState, "rollout %s is %s and can't be %s", r.ID, r.State, _participles[event])
 	}
 	r.State = State(machine.Current())
 	r.log(now, text)
