--- /dev/null
+++ b/internal/capacity/capacity_bench_test.go
@@ -0,0 +1,213 @@
+package capacity
+
+import (
+	"bytes"
+	"compress/gzip"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"lentilferry.example/lentilferry/config"
+	"lentilferry.example/lentilferry/distribution"
+	"lentilferry.example/lentilferry/evidence"
+	lentilferryv1 "lentilferry.example/lentilferry/gen/lentilferry/v1"
+	"lentilferry.example/lentilferry/membership"
+	"lentilferry.example/lentilferry/revision"
+	"lentilferry.example/lentilferry/routing"
+	"lentilferry.example/lentilferry/wire"
+)
+
+// The target's sizes.
+const (
+	_services         = 160
+	_routesPerService = 3
+	_nodes            = 1_100
+	_zones            = 12
+)
+
+var _now = time.Unix(1_800_000_000, 0)
+
+// mesh returns a configuration with two versions and a policy for each service.
+func mesh(services int) config.Config {
+	var c config.Config
+	for i := range services {
+		name := config.ServiceName(fmt.Sprintf("service-%03d", i))
+		c.Services = append(c.Services, config.Service{Name: name, Weights: config.Split("v1.20.3", "v1.20.4", 500)})
+		c.Versions = append(c.Versions, config.Version{Service: name, Name: "v1.20.3"}, config.Version{Service: name, Name: "v1.20.4"})
+		c.Policies = append(c.Policies, config.DefaultPolicy(name))
+		for r := range _routesPerService {
+			c.Routes = append(c.Routes, config.Route{
+				Name: config.RouteName(fmt.Sprintf("%s-route-%d", name, r)), Service: name,
+				Host: fmt.Sprintf("%s.example", name), PathPrefix: fmt.Sprintf("/path-%d", r),
+				Class: config.ClassLookup, Timeout: 2 * time.Second,
+			})
+		}
+	}
+	return c
+}
+
+func members(nodes, zones int) []membership.Member {
+	var all []membership.Member
+	for i := range nodes {
+		all = append(all, membership.Member{
+			ID: membership.NodeID(fmt.Sprintf("node-%04d", i)), Incarnation: uint64(_now.UnixNano()), Sequence: 7, State: membership.Serving,
+			Region: membership.Region(fmt.Sprint("region-", i%zones%5)), Zone: membership.Zone(fmt.Sprint("zone-", i%zones)),
+			Peer:    netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7902),
+			Service: config.ServiceName(fmt.Sprintf("service-%03d", i%_services)), Version: "v1.20.3", Slots: 12, Revision: 40_000,
+		})
+	}
+	return all
+}
+
+func table(nodes, zones int) *membership.Table {
+	all := members(nodes, zones)
+	t := membership.New(membership.DefaultTiming(), all[0], rand.New(rand.NewPCG(1, 1)), _now)
+	for _, m := range all {
+		t.Merge(_now, m)
+		t.Heard(_now, []membership.ZoneDigest{{Zone: m.Zone}})
+	}
+	return t
+}
+
+func snapshot(b *testing.B, services int) *revision.Snapshot {
+	s, err := revision.Next(wire.Codec{}, nil, mesh(services), "op", "", _now)
+	assert.NilError(b, err)
+	return s
+}
+
+func gzipped(b *testing.B, m proto.Message) int {
+	value, err := proto.Marshal(m)
+	assert.NilError(b, err)
+	var out bytes.Buffer
+	w := gzip.NewWriter(&out)
+	_, err = w.Write(value)
+	assert.NilError(b, err)
+	assert.NilError(b, w.Close())
+	return out.Len()
+}
+
+// held returns the heap bytes that a value keeps.
+func held[T any](build func() T) (T, uint64) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	value := build()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	return value, after.HeapAlloc - before.HeapAlloc
+}
+
+func BenchmarkSnapshot(b *testing.B) {
+	for _, services := range []int{10, 40, _services} {
+		b.Run(fmt.Sprint("services=", services), func(b *testing.B) {
+			base, kept := held(func() *revision.Snapshot { return snapshot(b, services) })
+			changed := base.Config
+			changed.Services = append([]config.Service(nil), base.Config.Services...)
+			changed.Services[0].Weights = config.Split("v1.20.3", "v1.20.4", 2500)
+			var next *revision.Snapshot
+			for b.Loop() {
+				var err error
+				next, err = revision.Next(wire.Codec{}, base, changed, "op-2", "", _now)
+				assert.NilError(b, err)
+			}
+			h := revision.NewHolder()
+			h.Offer(base)
+			h.Offer(next)
+			replica := distribution.New(wire.Codec{}, h)
+			whole, _ := replica.BundleFor(0)
+			delta, _ := replica.BundleFor(1)
+			manifest, err := wire.Codec{}.EncodeManifest(next.Manifest)
+			assert.NilError(b, err)
+			b.ReportMetric(float64(kept), "held-B")
+			b.ReportMetric(float64(gzipped(b, wire.EncodeBundle(whole))), "whole-gzip-B")
+			b.ReportMetric(float64(gzipped(b, wire.EncodeBundle(delta))), "delta-gzip-B")
+			b.ReportMetric(float64(len(manifest)), "head-B")
+		})
+	}
+}
+
+func BenchmarkReceiveDelta(b *testing.B) {
+	for _, services := range []int{10, 40, _services} {
+		b.Run(fmt.Sprint("services=", services), func(b *testing.B) {
+			base := snapshot(b, services)
+			next, err := revision.Next(wire.Codec{}, base, base.Config, "op-2", "", _now)
+			assert.NilError(b, err)
+			h := revision.NewHolder()
+			h.Offer(base)
+			h.Offer(next)
+			delta, _ := distribution.New(wire.Codec{}, h).BundleFor(1)
+			for b.Loop() {
+				mine := revision.NewHolder()
+				mine.Offer(base)
+				receipt := distribution.New(wire.Codec{}, mine).Receive(delta)
+				assert.Assert(b, receipt.Result == distribution.Applied)
+				routing.NewTable(next.Config, nil, rand.New(rand.NewPCG(1, 1)))
+			}
+		})
+	}
+}
+
+func BenchmarkMembers(b *testing.B) {
+	for _, nodes := range []int{100, 400, _nodes} {
+		b.Run(fmt.Sprint("nodes=", nodes), func(b *testing.B) {
+			t, kept := held(func() *membership.Table { return table(nodes, _zones) })
+			pool := routing.NewPool("zone-0", "region-0")
+			for b.Loop() {
+				pool.Update(t.Members())
+			}
+			b.ReportMetric(float64(kept)/float64(nodes), "held-B/node")
+			zone := &lentilferryv1.ExchangeResponse{Updates: wire.EncodeMembers(t.Zone("zone-0"))}
+			b.ReportMetric(float64(gzipped(b, zone))/float64(len(zone.GetUpdates())), "zone-sync-gzip-B/node")
+		})
+	}
+}
+
+// BenchmarkExchange is one exchange at rest and one with news: the work of
+// both sides without the network.
+func BenchmarkExchange(b *testing.B) {
+	t := table(_nodes, _zones)
+	for range 4_000 {
+		t.Updates()
+	}
+	rest := &lentilferryv1.ExchangeRequest{From: "node-0001", To: "node-0002", Revision: 40_000, Digests: wire.EncodeDigests(t.Digests(_now))}
+	news := proto.CloneOf(rest)
+	news.Updates = wire.EncodeMembers(members(12, 1))
+	for name, message := range map[string]*lentilferryv1.ExchangeRequest{"rest": rest, "news": news} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				value, err := proto.Marshal(message)
+				assert.NilError(b, err)
+				var received lentilferryv1.ExchangeRequest
+				assert.NilError(b, proto.Unmarshal(value, &received))
+				for _, m := range wire.DecodeMembers(received.GetUpdates()) {
+					t.Merge(_now, m)
+				}
+				t.Differing(_now, wire.DecodeDigests(received.GetDigests()))
+			}
+			b.ReportMetric(float64(proto.Size(message)), "message-B")
+		})
+	}
+}
+
+// BenchmarkReport is the size of one owner's evidence.
+func BenchmarkReport(b *testing.B) {
+	r := evidence.NewRecorder("v1.20.4")
+	r.SetRollout("service-001.0a1b2c3d")
+	rnd := rand.New(rand.NewPCG(1, 1))
+	for i := range 10_000 {
+		route := config.RouteName(fmt.Sprint("service-001-route-", i%_routesPerService))
+		r.Observe(_now, evidence.Observation{Route: route, Took: time.Duration(rnd.ExpFloat64() * float64(20*time.Millisecond))})
+	}
+	var report *lentilferryv1.ReportRequest
+	for b.Loop() {
+		report = wire.EncodeReport(evidence.Report{Rollout: r.Rollout(), From: "node-0001", Incarnation: 1, Sequence: 1, Tallies: r.Tallies()})
+	}
+	b.ReportMetric(float64(proto.Size(report)), "report-B")
+	b.ReportMetric(float64(gzipped(b, report)), "report-gzip-B")
+}
--- /dev/null
+++ b/internal/capacity/doc.go
@@ -0,0 +1,2 @@
+// Package capacity holds the benchmarks behind docs/CAPACITY.md.
+package capacity
--- a/membership/schedule_test.go
+++ b/membership/schedule_test.go
@@ -17,6 +17,8 @@
 	cut func(from, to int) bool
 	// messages and records count what was sent.
 	messages, records int
+	// spread lets nodes take over a higher revision.
+	spread bool
 }
 
 func newSchedule(zones []Zone, each int) *schedule {
@@ -57,6 +59,11 @@
 	}
 	s.deliver(answer, a)
 	a.Heard(s.now, b.Digests(s.now))
+	if s.spread {
+		revision := max(a.Self().Revision, b.Self().Revision)
+		a.Announce(s.now, func(m *Member) { m.Revision = revision })
+		b.Announce(s.now, func(m *Member) { m.Revision = revision })
+	}
 	return true
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -146,6 +146,10 @@
 	control     *meter.Meter
 	// reports numbers this node's reports.
 	reports atomic.Uint64
+	// pooled is the generation of the members that calls are routed by, and
+	// pooledAt is when they were taken over. Only refresh uses them.
+	pooled   uint64
+	pooledAt time.Time
 	// detectors hold the tests of the rollouts that this node collects for.
 	detectors map[string]*evidence.Detector
 
--- a/node/steps.go
+++ b/node/steps.go
@@ -24,6 +24,9 @@
 const (
 	// _refreshEvery is the time between updates of what calls are routed by.
 	_refreshEvery = 50 * time.Millisecond
+	// _poolEvery is the time between updates of the upstreams to choose from
+	// while no member changes; updates cost about a microsecond a member.
+	_poolEvery = time.Second
 	// _silentAfter is how long a zone may be silent before its upstreams are
 	// chosen last.
 	_silentAfter = 10 * time.Second
@@ -80,7 +83,10 @@
 		n.table.Announce(now, func(m *membership.Member) { m.Revision = current.Manifest.Number })
 		n.d.Logger.Info("Revision in force", "revision", current.Manifest.Number)
 	}
-	n.pool.Update(n.reachable(now))
+	if generation := n.table.Generation(); generation != n.pooled || now.Sub(n.pooledAt) >= _poolEvery {
+		n.pooled, n.pooledAt = generation, now
+		n.pool.Update(n.reachable(now))
+	}
 	n.gate.Expire(now)
 }
 
