membership: Tell applied revisions to the zone's collector, not to everyone

Cause: each change of configuration changed every member's record, and every record went to every member. A collector that is new counts those it has not heard from as running nothing. A zone that does not answer holds back, until it is left out.

--- a/commands/state.go
+++ b/commands/state.go
@@ -42,6 +42,10 @@
 	var text strings.Builder
 	fmt.Fprintf(&text, "Revision %d is the newest this node has; revision %d is in force everywhere.\n", s.GetRevision(), s.GetInForce())
 	for _, h := range s.GetHeldBack() {
+		if h.GetNode() == "" {
+			fmt.Fprintf(&text, "  held back: zone %s, which runs %d (0: its collector does not answer)\n", h.GetZone(), h.GetRevision())
+			continue
+		}
 		fmt.Fprintf(&text, "  held back: %s in %s runs %d\n", h.GetNode(), h.GetZone(), h.GetRevision())
 	}
 	for _, zone := range s.GetLeftOutZones() {
@@ -92,11 +96,11 @@
 		}
 		rows = append(rows, []string{
 			string(m.Zone), string(m.ID), state, string(m.Service), string(m.Version),
-			fmt.Sprint(m.Slots), fmt.Sprint(m.Revision), m.Peer.String(), ages[m.Zone].Round(100 * time.Millisecond).String(),
+			fmt.Sprint(m.Slots), m.Peer.String(), ages[m.Zone].Round(100 * time.Millisecond).String(),
 		})
 	}
 	return "As " + answer.GetSelf() + " knows them:\n" +
-		table("ZONE\tNODE\tSTATE\tSERVICE\tVERSION\tSLOTS\tREVISION\tPEER\tWORD IS OLD BY", rows)
+		table("ZONE\tNODE\tSTATE\tSERVICE\tVERSION\tSLOTS\tPEER\tWORD IS OLD BY", rows)
 }
 
 func (c *cli) versionCommand(parent *ff.FlagSet) *ff.Command {
--- a/control/controller.go
+++ b/control/controller.go
@@ -35,7 +35,7 @@
 
 // Fleet tells what is in force.
 type Fleet interface {
-	InForce(now time.Time) membership.InForce
+	InForce(ctx context.Context, now time.Time) membership.InForce
 }
 
 // Quarantines gives the known quarantines.
@@ -184,13 +184,13 @@
 
 func (c *Controller) inputs(ctx context.Context, epoch uint64, r *rollout.Rollout, s *supervision) rollout.Inputs {
 	now := c.d.Now()
-	fleet := c.d.Fleet.InForce(now)
-	in := rollout.Inputs{
-		Epoch:      epoch,
-		InForce:    fleet.Number,
-		HeldBackBy: describe(fleet.HeldBack),
-		Policy:     config.DefaultPolicy(r.Service),
+	in := rollout.Inputs{Epoch: epoch, Policy: config.DefaultPolicy(r.Service)}
+	if r.State == rollout.Planned {
+		return in
 	}
+	fleet := c.d.Fleet.InForce(ctx, now)
+	in.InForce = fleet.Number
+	in.HeldBackBy = describe(fleet.HeldBack)
 	if current := c.d.Holder.Current(); current != nil {
 		in.Policy = current.Config.Policy(r.Service)
 	}
@@ -231,7 +231,11 @@
 func describe(held []membership.HeldBack) string {
 	var names []string
 	for _, h := range held[:min(_namedHeldBack, len(held))] {
-		names = append(names, string(h.Zone)+"/"+string(h.ID))
+		name := "zone " + string(h.Zone)
+		if h.ID != "" {
+			name = string(h.Zone) + "/" + string(h.ID)
+		}
+		names = append(names, name)
 	}
 	if len(held) > _namedHeldBack {
 		names = append(names, "others")
--- a/gen/lentilferry/v1/lentilferryv1connect/peer.connect.go
+++ b/gen/lentilferry/v1/lentilferryv1connect/peer.connect.go
@@ -41,6 +41,10 @@
 	PeerServicePullProcedure = "/lentilferry.v1.PeerService/Pull"
 	// PeerServiceReportProcedure is the fully-qualified name of the PeerService's Report RPC.
 	PeerServiceReportProcedure = "/lentilferry.v1.PeerService/Report"
+	// PeerServiceTellAppliedProcedure is the fully-qualified name of the PeerService's TellApplied RPC.
+	PeerServiceTellAppliedProcedure = "/lentilferry.v1.PeerService/TellApplied"
+	// PeerServiceZoneAppliedProcedure is the fully-qualified name of the PeerService's ZoneApplied RPC.
+	PeerServiceZoneAppliedProcedure = "/lentilferry.v1.PeerService/ZoneApplied"
 	// PeerServiceCollectProcedure is the fully-qualified name of the PeerService's Collect RPC.
 	PeerServiceCollectProcedure = "/lentilferry.v1.PeerService/Collect"
 )
@@ -55,7 +59,11 @@
 	Pull(context.Context, *connect.Request[v1.PullRequest]) (*connect.Response[v1.PullResponse], error)
 	// Report sends a node's cumulative evidence to its zone's collector.
 	Report(context.Context, *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error)
-	// Collect reads a zone's merged evidence.
+	// TellApplied tells the zone's collector which revision a node runs.
+	TellApplied(context.Context, *connect.Request[v1.TellAppliedRequest]) (*connect.Response[v1.TellAppliedResponse], error)
+	// ZoneApplied reads which revision is in force in a zone.
+	ZoneApplied(context.Context, *connect.Request[v1.ZoneAppliedRequest]) (*connect.Response[v1.ZoneAppliedResponse], error)
+	// Collect reads a zone's evidence.
 	Collect(context.Context, *connect.Request[v1.CollectRequest]) (*connect.Response[v1.CollectResponse], error)
 }
 
@@ -94,6 +102,18 @@
 			connect.WithSchema(peerServiceMethods.ByName("Report")),
 			connect.WithClientOptions(opts...),
 		),
+		tellApplied: connect.NewClient[v1.TellAppliedRequest, v1.TellAppliedResponse](
+			httpClient,
+			baseURL+PeerServiceTellAppliedProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("TellApplied")),
+			connect.WithClientOptions(opts...),
+		),
+		zoneApplied: connect.NewClient[v1.ZoneAppliedRequest, v1.ZoneAppliedResponse](
+			httpClient,
+			baseURL+PeerServiceZoneAppliedProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("ZoneApplied")),
+			connect.WithClientOptions(opts...),
+		),
 		collect: connect.NewClient[v1.CollectRequest, v1.CollectResponse](
 			httpClient,
 			baseURL+PeerServiceCollectProcedure,
@@ -105,11 +125,13 @@
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
-	exchange *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
-	probeFor *connect.Client[v1.ProbeForRequest, v1.ProbeForResponse]
-	pull     *connect.Client[v1.PullRequest, v1.PullResponse]
-	report   *connect.Client[v1.ReportRequest, v1.ReportResponse]
-	collect  *connect.Client[v1.CollectRequest, v1.CollectResponse]
+	exchange    *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
+	probeFor    *connect.Client[v1.ProbeForRequest, v1.ProbeForResponse]
+	pull        *connect.Client[v1.PullRequest, v1.PullResponse]
+	report      *connect.Client[v1.ReportRequest, v1.ReportResponse]
+	tellApplied *connect.Client[v1.TellAppliedRequest, v1.TellAppliedResponse]
+	zoneApplied *connect.Client[v1.ZoneAppliedRequest, v1.ZoneAppliedResponse]
+	collect     *connect.Client[v1.CollectRequest, v1.CollectResponse]
 }
 
 // Exchange calls lentilferry.v1.PeerService.Exchange.
@@ -132,6 +154,16 @@
 	return c.report.CallUnary(ctx, req)
 }
 
+// TellApplied calls lentilferry.v1.PeerService.TellApplied.
+func (c *peerServiceClient) TellApplied(ctx context.Context, req *connect.Request[v1.TellAppliedRequest]) (*connect.Response[v1.TellAppliedResponse], error) {
+	return c.tellApplied.CallUnary(ctx, req)
+}
+
+// ZoneApplied calls lentilferry.v1.PeerService.ZoneApplied.
+func (c *peerServiceClient) ZoneApplied(ctx context.Context, req *connect.Request[v1.ZoneAppliedRequest]) (*connect.Response[v1.ZoneAppliedResponse], error) {
+	return c.zoneApplied.CallUnary(ctx, req)
+}
+
 // Collect calls lentilferry.v1.PeerService.Collect.
 func (c *peerServiceClient) Collect(ctx context.Context, req *connect.Request[v1.CollectRequest]) (*connect.Response[v1.CollectResponse], error) {
 	return c.collect.CallUnary(ctx, req)
@@ -147,7 +179,11 @@
 	Pull(context.Context, *connect.Request[v1.PullRequest]) (*connect.Response[v1.PullResponse], error)
 	// Report sends a node's cumulative evidence to its zone's collector.
 	Report(context.Context, *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error)
-	// Collect reads a zone's merged evidence.
+	// TellApplied tells the zone's collector which revision a node runs.
+	TellApplied(context.Context, *connect.Request[v1.TellAppliedRequest]) (*connect.Response[v1.TellAppliedResponse], error)
+	// ZoneApplied reads which revision is in force in a zone.
+	ZoneApplied(context.Context, *connect.Request[v1.ZoneAppliedRequest]) (*connect.Response[v1.ZoneAppliedResponse], error)
+	// Collect reads a zone's evidence.
 	Collect(context.Context, *connect.Request[v1.CollectRequest]) (*connect.Response[v1.CollectResponse], error)
 }
 
@@ -182,6 +218,18 @@
 		connect.WithSchema(peerServiceMethods.ByName("Report")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceTellAppliedHandler := connect.NewUnaryHandler(
+		PeerServiceTellAppliedProcedure,
+		svc.TellApplied,
+		connect.WithSchema(peerServiceMethods.ByName("TellApplied")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerServiceZoneAppliedHandler := connect.NewUnaryHandler(
+		PeerServiceZoneAppliedProcedure,
+		svc.ZoneApplied,
+		connect.WithSchema(peerServiceMethods.ByName("ZoneApplied")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceCollectHandler := connect.NewUnaryHandler(
 		PeerServiceCollectProcedure,
 		svc.Collect,
@@ -198,6 +246,10 @@
 			peerServicePullHandler.ServeHTTP(w, r)
 		case PeerServiceReportProcedure:
 			peerServiceReportHandler.ServeHTTP(w, r)
+		case PeerServiceTellAppliedProcedure:
+			peerServiceTellAppliedHandler.ServeHTTP(w, r)
+		case PeerServiceZoneAppliedProcedure:
+			peerServiceZoneAppliedHandler.ServeHTTP(w, r)
 		case PeerServiceCollectProcedure:
 			peerServiceCollectHandler.ServeHTTP(w, r)
 		default:
@@ -225,6 +277,14 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lentilferry.v1.PeerService.Report is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) TellApplied(context.Context, *connect.Request[v1.TellAppliedRequest]) (*connect.Response[v1.TellAppliedResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lentilferry.v1.PeerService.TellApplied is not implemented"))
+}
+
+func (UnimplementedPeerServiceHandler) ZoneApplied(context.Context, *connect.Request[v1.ZoneAppliedRequest]) (*connect.Response[v1.ZoneAppliedResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lentilferry.v1.PeerService.ZoneApplied is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) Collect(context.Context, *connect.Request[v1.CollectRequest]) (*connect.Response[v1.CollectResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lentilferry.v1.PeerService.Collect is not implemented"))
 }
--- a/membership/in_force.go
+++ b/membership/in_force.go
@@ -4,7 +4,7 @@
 	"math"
 	"slices"
 	"strings"
-	"time"
+	"sync"
 )
 
 // HeldBack is a member that runs an older revision than others.
@@ -14,53 +14,125 @@
 	Revision uint64
 }
 
-// InForce is the newest revision that is in force at every member counted.
+// Applied holds which revision each member of a zone says that it runs. Each
+// member tells its zone's collector when that changes; a collector that is new
+// counts the members it has not heard from as running none. It is safe for
+// concurrent use.
+type Applied struct {
+	mu sync.Mutex
+	// runs holds the newest word of each member.
+	runs map[NodeID]running
+}
+
+type running struct {
+	incarnation uint64
+	revision    uint64
+}
+
+// NewApplied returns an Applied that has heard from nobody.
+func NewApplied() *Applied {
+	return &Applied{runs: make(map[NodeID]running)}
+}
+
+// Tell takes in what a member runs. Word of an older incarnation, or of an
+// older revision, is late and counts for nothing.
+func (a *Applied) Tell(id NodeID, incarnation, revision uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	known := a.runs[id]
+	if incarnation > known.incarnation || incarnation == known.incarnation && revision > known.revision {
+		a.runs[id] = running{incarnation: incarnation, revision: revision}
+	}
+}
+
+// ZoneApplied is what is in force in one zone.
+type ZoneApplied struct {
+	Zone Zone
+	// Reached is false when the zone's collector did not answer.
+	Reached bool
+	// Lowest is the newest revision that all live members run.
+	Lowest uint64
+	// Newest is the newest that any of them runs.
+	Newest uint64
+	// HeldBack names some of those that run less than Newest, by ID.
+	HeldBack []HeldBack
+	// Behind counts all of them.
+	Behind int
+}
+
+// _namedHeldBack bounds the members that a zone names.
+const _namedHeldBack = 5
+
+// Zone returns what is in force at the given members of one zone that are not
+// gone, and forgets all others.
+func (a *Applied) Zone(zone Zone, members []Member) ZoneApplied {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	result := ZoneApplied{Zone: zone, Reached: true, Lowest: math.MaxUint64}
+	kept := make(map[NodeID]running, len(members))
+	for _, m := range members {
+		if m.State.Gone() {
+			continue
+		}
+		run, ok := a.runs[m.ID]
+		if ok {
+			kept[m.ID] = run
+		}
+		if run.incarnation != m.Incarnation {
+			run.revision = 0
+		}
+		result.Lowest = min(result.Lowest, run.revision)
+		result.Newest = max(result.Newest, run.revision)
+		result.HeldBack = append(result.HeldBack, HeldBack{ID: m.ID, Zone: zone, Revision: run.revision})
+	}
+	a.runs = kept
+	if len(result.HeldBack) == 0 {
+		result.Lowest = 0
+	}
+	newest := result.Newest
+	result.HeldBack = slices.DeleteFunc(result.HeldBack, func(h HeldBack) bool { return h.Revision >= newest })
+	slices.SortFunc(result.HeldBack, func(x, y HeldBack) int { return strings.Compare(string(x.ID), string(y.ID)) })
+	result.Behind = len(result.HeldBack)
+	result.HeldBack = result.HeldBack[:min(_namedHeldBack, result.Behind)]
+	return result
+}
+
+// InForce is the newest revision that is in force in all zones counted.
 type InForce struct {
-	// Number is 0 when a member has none, or when there is no member.
+	// Number is 0 when a zone has none or did not answer.
 	Number uint64
-	// HeldBack names the members that run less than the newest revision,
-	// sorted by zone and ID.
+	// HeldBack names members that run less than the newest revision. One
+	// without an ID stands for a zone that did not answer.
 	HeldBack []HeldBack
 	// LeftOut names the zones that were not heard of for too long. They take
 	// the newest revision when they are heard of again.
 	LeftOut []Zone
 }
 
-// ComputeInForce returns the revision in force at all members that are not
-// gone, in the zones heard of within the limit.
-func ComputeInForce(members []Member, digests []ZoneDigest, limit time.Duration) InForce {
-	var result InForce
-	silent := make(map[Zone]bool)
-	for _, d := range digests {
-		if d.Age > limit {
-			silent[d.Zone] = true
-			result.LeftOut = append(result.LeftOut, d.Zone)
-		}
+// MergeInForce returns what is in force in all zones but those left out.
+func MergeInForce(zones []ZoneApplied, leftOut []Zone) InForce {
+	result := InForce{LeftOut: leftOut}
+	lowest, newest := uint64(math.MaxUint64), uint64(0)
+	for _, z := range zones {
+		newest = max(newest, z.Newest)
 	}
-	slices.Sort(result.LeftOut)
-	lowest := uint64(math.MaxUint64)
-	newest := uint64(0)
-	for _, m := range members {
-		if m.State.Gone() || silent[m.Zone] {
+	for _, z := range zones {
+		switch {
+		case slices.Contains(leftOut, z.Zone):
 			continue
+		case !z.Reached:
+			result.HeldBack = append(result.HeldBack, HeldBack{Zone: z.Zone})
+			lowest = 0
+		case z.Newest < newest && z.Behind == 0:
+			result.HeldBack = append(result.HeldBack, HeldBack{Zone: z.Zone, Revision: z.Lowest})
+			lowest = min(lowest, z.Lowest)
+		default:
+			result.HeldBack = append(result.HeldBack, z.HeldBack...)
+			lowest = min(lowest, z.Lowest)
 		}
-		lowest = min(lowest, m.Revision)
-		newest = max(newest, m.Revision)
 	}
-	if lowest == math.MaxUint64 {
-		return result
+	if lowest != math.MaxUint64 {
+		result.Number = lowest
 	}
-	result.Number = lowest
-	for _, m := range members {
-		if !m.State.Gone() && !silent[m.Zone] && m.Revision < newest {
-			result.HeldBack = append(result.HeldBack, HeldBack{ID: m.ID, Zone: m.Zone, Revision: m.Revision})
-		}
-	}
-	slices.SortFunc(result.HeldBack, func(a, b HeldBack) int {
-		if c := strings.Compare(string(a.Zone), string(b.Zone)); c != 0 {
-			return c
-		}
-		return strings.Compare(string(a.ID), string(b.ID))
-	})
 	return result
 }
--- a/membership/member.go
+++ b/membership/member.go
@@ -95,7 +95,8 @@
 	Version config.VersionName
 	// Slots is how many calls the upstream runs at once.
 	Slots int
-	// Revision is the number of the configuration in force at the node.
+	// Revision is the number of the configuration that the node ran when its
+	// record last changed.
 	Revision uint64
 }
 
--- a/membership/table.go
+++ b/membership/table.go
@@ -140,6 +140,22 @@
 	t.Merge(now, self)
 }
 
+// Runs notes which revision this node runs. That is not passed on by itself,
+// but with the next change of the record: with each change of configuration
+// every member would else tell every other.
+func (t *Table) Runs(revision uint64) {
+	t.selfMu.Lock()
+	t.self.Revision = revision
+	self := t.self
+	t.selfMu.Unlock()
+	s := t.shard(self.Zone)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r, ok := s.members[self.ID]; ok && r.member.Sequence == self.Sequence && r.member.Incarnation == self.Incarnation {
+		r.member.Revision = revision
+	}
+}
+
 // Merge takes in word of a member and reports whether it was news. Word of
 // this node that is not its own is refuted.
 func (t *Table) Merge(now time.Time, m Member) bool {
--- /dev/null
+++ b/node/applied.go
@@ -0,0 +1,102 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+
+	lentilferryv1 "lentilferry.example/lentilferry/gen/lentilferry/v1"
+	"lentilferry.example/lentilferry/membership"
+	"lentilferry.example/lentilferry/wire"
+)
+
+// _tellAgain is the time after which a node tells its collector again what it
+// runs, though nothing has changed.
+const _tellAgain = 30 * time.Second
+
+// told is what a node last told its collector.
+type told struct {
+	collector string
+	revision  uint64
+	at        time.Time
+}
+
+// tellApplied tells the zone's collector which revision this node runs, when
+// that or the collector has changed.
+func (n *Node) tellApplied(ctx context.Context) {
+	self := n.table.Self()
+	collector, ok := n.collectorOf(n.d.Zone)
+	now := n.d.Now()
+	news := told{collector: collector.Instance(), revision: self.Revision, at: now}
+	same := n.told.collector == news.collector && n.told.revision == news.revision
+	if !ok || self.Revision == 0 || same && now.Sub(n.told.at) < _tellAgain {
+		return
+	}
+	if collector.ID == self.ID {
+		n.applied.Tell(self.ID, self.Incarnation, self.Revision)
+		n.told = news
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, _evidenceTimeout)
+	defer cancel()
+	request := &lentilferryv1.TellAppliedRequest{From: string(self.ID), Incarnation: self.Incarnation, Revision: self.Revision}
+	if _, err := n.clients.To(collector.Peer).TellApplied(ctx, connect.NewRequest(request)); err != nil {
+		n.d.Logger.V(1).Info("Revision not told", "collector", collector.ID, "cause", err.Error())
+		return
+	}
+	n.told = news
+}
+
+// InForce asks each zone's collector what is in force there.
+func (n *Node) InForce(ctx context.Context, now time.Time) membership.InForce {
+	var leftOut []membership.Zone
+	for _, d := range n.table.Digests(now) {
+		if d.Age > n.d.Periods.LeaveOutAfter {
+			leftOut = append(leftOut, d.Zone)
+		}
+	}
+	zones := eachZone(n, func(zone membership.Zone) membership.ZoneApplied {
+		if slices.Contains(leftOut, zone) {
+			return membership.ZoneApplied{Zone: zone}
+		}
+		return n.zoneApplied(ctx, zone)
+	})
+	return membership.MergeInForce(zones, leftOut)
+}
+
+func (n *Node) zoneApplied(ctx context.Context, zone membership.Zone) membership.ZoneApplied {
+	members := n.table.Zone(zone)
+	collector, ok := n.collectorOf(zone)
+	switch {
+	case !ok:
+		return membership.ZoneApplied{Zone: zone}
+	case collector.ID == n.d.ID:
+		return n.applied.Zone(zone, members)
+	}
+	ctx, cancel := context.WithTimeout(ctx, _evidenceTimeout)
+	defer cancel()
+	response, err := n.clients.To(collector.Peer).ZoneApplied(ctx, connect.NewRequest(&lentilferryv1.ZoneAppliedRequest{}))
+	if err != nil {
+		return membership.ZoneApplied{Zone: zone}
+	}
+	return wire.DecodeZoneApplied(zone, response.Msg)
+}
+
+// eachZone asks all zones at once. Zones whose members are all gone are left
+// out.
+func eachZone[T any](n *Node, ask func(zone membership.Zone) T) []T {
+	zones := slices.DeleteFunc(append(n.table.OtherZones(), n.d.Zone), func(zone membership.Zone) bool {
+		return !slices.ContainsFunc(n.table.Zone(zone), func(m membership.Member) bool { return !m.State.Gone() })
+	})
+	answers := make(chan T, len(zones))
+	for _, zone := range zones {
+		go func() { answers <- ask(zone) }()
+	}
+	all := make([]T, 0, len(zones))
+	for range zones {
+		all = append(all, <-answers)
+	}
+	return all
+}
--- a/node/node.go
+++ b/node/node.go
@@ -134,6 +134,7 @@
 	clients     *peer.Clients
 	collector   *evidence.Collector
 	recorder    *evidence.Recorder
+	applied     *membership.Applied
 	controller  *control.Controller
 	operations  *control.Operations
 	lifecycle   *lifecycle.Lifecycle
@@ -144,6 +145,8 @@
 	routes      atomic.Pointer[routing.Table]
 	vars        *expvar.Map
 	control     *meter.Meter
+	// told is what tellApplied last told, and whom.
+	told told
 	// reports numbers this node's reports.
 	reports atomic.Uint64
 	// pooled is the generation of the members that calls are routed by, and
@@ -189,6 +192,7 @@
 		quarantines: quarantine.New(),
 		collector:   evidence.NewCollector(),
 		recorder:    evidence.NewRecorder(d.Upstream.Version),
+		applied:     membership.NewApplied(),
 		lifecycle:   lifecycle.New(d.Upstream.Warmup),
 		pool:        routing.NewPool(d.Zone, d.Region),
 		control:     &meter.Meter{},
@@ -318,11 +322,6 @@
 	return n.control.Total()
 }
 
-// InForce returns what is in force everywhere.
-func (n *Node) InForce(now time.Time) membership.InForce {
-	return membership.ComputeInForce(n.table.Members(), n.table.Digests(now), n.d.Periods.LeaveOutAfter)
-}
-
 // Run runs the node until Stop has ended or the context ends, which stops it
 // at once. The error is that of a server that could not go on.
 func (n *Node) Run(ctx context.Context) error {
@@ -361,6 +360,7 @@
 	loop(p.Zones, n.visitZones)
 	loop(p.Health, n.checkUpstream)
 	loop(p.Evidence, n.reportEvidence)
+	loop(p.Evidence, n.tellApplied)
 	loop(p.Control, n.controlStep)
 	loop(_refreshEvery, n.refresh)
 	group.Go(func() error { n.watchHead(ctx); return nil })
--- a/node/servers.go
+++ b/node/servers.go
@@ -60,7 +60,7 @@
 // peerHandler splits what peers send between control messages and calls.
 func (n *Node) peerHandler() http.Handler {
 	path, control := lentilferryv1connect.NewPeerServiceHandler(
-		peer.NewServer(n.gossip, n.collector), peer.HandlerOptions()...)
+		peer.NewServer(n.gossip, n.collector, n.applied), peer.HandlerOptions()...)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch {
 		case call.IsForwarded(r):
--- a/node/steps.go
+++ b/node/steps.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -80,7 +79,7 @@
 		n.rndMu.Unlock()
 		n.quarantines.Prune(current.Config.Services)
 		n.followRollout(current.Config)
-		n.table.Announce(now, func(m *membership.Member) { m.Revision = current.Manifest.Number })
+		n.table.Runs(current.Manifest.Number)
 		n.d.Logger.Info("Revision in force", "revision", current.Manifest.Number)
 	}
 	if generation := n.table.Generation(); generation != n.pooled || now.Sub(n.pooledAt) >= _poolEvery {
@@ -234,17 +233,9 @@
 
 // Gather reads the evidence of all zones at once.
 func (n *Node) Gather(ctx context.Context, rollout string) []control.ZoneReports {
-	zones := append(n.table.OtherZones(), n.d.Zone)
-	slices.Sort(zones)
-	gathered := make(chan control.ZoneReports, len(zones))
-	for _, zone := range zones {
-		go func() { gathered <- n.gatherZone(ctx, zone, rollout) }()
-	}
-	all := make([]control.ZoneReports, 0, len(zones))
-	for range zones {
-		all = append(all, <-gathered)
-	}
-	return all
+	return eachZone(n, func(zone membership.Zone) control.ZoneReports {
+		return n.gatherZone(ctx, zone, rollout)
+	})
 }
 
 func (n *Node) gatherZone(ctx context.Context, zone membership.Zone, rollout string) control.ZoneReports {
--- a/operator/server.go
+++ b/operator/server.go
@@ -26,7 +26,7 @@
 	Operations() *control.Operations
 	Holder() *revision.Holder
 	Members() *membership.Table
-	InForce(now time.Time) membership.InForce
+	InForce(ctx context.Context, now time.Time) membership.InForce
 }
 
 // Server answers operators.
@@ -153,7 +153,7 @@
 
 // Status says what is in force and how the rollouts stand.
 func (s *Server) Status(ctx context.Context, r *connect.Request[lentilferryv1.StatusRequest]) (*connect.Response[lentilferryv1.StatusResponse], error) {
-	inForce := s.node.InForce(s.now())
+	inForce := s.node.InForce(ctx, s.now())
 	refusal := s.node.Holder().Refusal()
 	response := &lentilferryv1.StatusResponse{
 		Revision:        s.node.Holder().Number(),
--- a/peer/server.go
+++ b/peer/server.go
@@ -18,13 +18,14 @@
 type Server struct {
 	gossip    *Gossip
 	collector *evidence.Collector
+	applied   *membership.Applied
 }
 
 var _ lentilferryv1connect.PeerServiceHandler = (*Server)(nil)
 
 // NewServer returns a server.
-func NewServer(gossip *Gossip, collector *evidence.Collector) *Server {
-	return &Server{gossip: gossip, collector: collector}
+func NewServer(gossip *Gossip, collector *evidence.Collector, applied *membership.Applied) *Server {
+	return &Server{gossip: gossip, collector: collector, applied: applied}
 }
 
 // Exchange answers a probe.
@@ -72,3 +73,15 @@
 	}
 	return connect.NewResponse(response), nil
 }
+
+// TellApplied takes in which revision a node runs.
+func (s *Server) TellApplied(_ context.Context, r *connect.Request[lentilferryv1.TellAppliedRequest]) (*connect.Response[lentilferryv1.TellAppliedResponse], error) {
+	s.applied.Tell(membership.NodeID(r.Msg.GetFrom()), r.Msg.GetIncarnation(), r.Msg.GetRevision())
+	return connect.NewResponse(&lentilferryv1.TellAppliedResponse{}), nil
+}
+
+// ZoneApplied returns which revision is in force in this zone.
+func (s *Server) ZoneApplied(context.Context, *connect.Request[lentilferryv1.ZoneAppliedRequest]) (*connect.Response[lentilferryv1.ZoneAppliedResponse], error) {
+	zone := s.gossip.d.Table.Self().Zone
+	return connect.NewResponse(wire.EncodeZoneApplied(s.applied.Zone(zone, s.gossip.d.Table.Zone(zone)))), nil
+}
