--- a/admission/gate.go
+++ b/admission/gate.go
@@ -266,13 +266,18 @@
 	return true
 }
 
+// LongestWait returns how long a call of a class waits at most.
+func (g *Gate) LongestWait(class config.Class) time.Duration {
+	return g.queue(class).limits.Wait
+}
+
 // Expire refuses the waiting calls whose time is over.
 func (g *Gate) Expire(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, q := range []*queue{g.lookups, g.commands} {
 		for _, ticket := range q.tickets() {
-			if now.After(ticket.request.Deadline) || now.Sub(ticket.entered) > q.limits.Wait {
+			if now.After(ticket.request.Deadline) || now.Sub(ticket.entered) >= q.limits.Wait {
 				q.remove(ticket)
 				ticket.refuse(ReasonTooLate)
 			}
--- a/call/limits_test.go
+++ b/call/limits_test.go
@@ -189,6 +189,29 @@
 	assert.Equal(t, ran.Load(), answered.Load())
 }
 
+// Behind an upstream that does not answer, a lookup waits no longer than its
+// class may, and is refused as not run.
+func TestLookupDoesNotWaitBehindAFrozenUpstream(t *testing.T) {
+	frozen := newScripted(t, func(s *scripted, _ net.Conn, r *bufio.Reader) {
+		s.readAll(r)
+		s.freeze()
+	})
+	p := newPath(t, 5*time.Second, frozen.address)
+	var group sync.WaitGroup
+	var refused atomic.Int64
+	for range _testSlots + 3 {
+		group.Go(func() {
+			if got := send(t, newRequest(t, http.MethodGet, p.url+"/", nil)); got.reason == string(admission.ReasonTooLate) {
+				assert.Check(t, got.outcome == call.NotRun.String())
+				refused.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	assert.Equal(t, refused.Load(), int64(3))
+	assert.Equal(t, frozen.calls.Load(), int64(_testSlots))
+}
+
 // A planned stop finishes what is in flight and refuses what is new.
 func TestDrainCutsNothing(t *testing.T) {
 	entered, release := make(chan struct{}), make(chan struct{})
--- a/call/owner.go
+++ b/call/owner.go
@@ -144,8 +144,13 @@
 		return ticket, Reason(ticket.Reason())
 	default:
 	}
+	timer := time.NewTimer(gate.LongestWait(p.forwarded.class))
+	defer timer.Stop()
 	select {
 	case <-ticket.Decided():
+	case <-timer.C:
+		gate.Expire(p.owner.d.Now())
+		<-ticket.Decided()
 	case <-ctx.Done():
 		if !gate.Abandon(ticket) && ticket.Reason() == "" {
 			gate.Leave(p.owner.d.Now(), ticket, admission.Done)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -76,7 +76,7 @@
 	return m.w.platform.Update(ctx, key, version, value)
 }
 
-func (w *world) Gather(context.Context, string) []ZoneReports {
+func (w *world) Gather(context.Context, string, config.ServiceName) []ZoneReports {
 	w.calls++
 	var reports []evidence.Report
 	for i, version := range []config.VersionName{"v1", "v2"} {
--- a/control/controller.go
+++ b/control/controller.go
@@ -25,12 +25,15 @@
 	Zone membership.Zone
 	// Reached is false when no collector of the zone answered.
 	Reached bool
+	// LeftOut is set for a zone that was not heard of for too long.
+	LeftOut bool
 	Reports []evidence.Report
 }
 
-// Evidence gathers the zones' evidence on a rollout.
+// Evidence gathers the evidence on a rollout from the zones that have
+// upstreams of its service.
 type Evidence interface {
-	Gather(ctx context.Context, rollout string) []ZoneReports
+	Gather(ctx context.Context, rollout string, service config.ServiceName) []ZoneReports
 }
 
 // Fleet tells what is in force.
@@ -188,21 +191,23 @@
 	if r.State == rollout.Planned {
 		return in
 	}
-	fleet := c.d.Fleet.InForce(ctx, now)
-	in.InForce = fleet.Number
-	in.HeldBackBy = describe(fleet.HeldBack)
+	if r.AwaitsForce() {
+		fleet := c.d.Fleet.InForce(ctx, now)
+		in.InForce = fleet.Number
+		in.HeldBackBy = describe(fleet.HeldBack)
+	}
 	if current := c.d.Holder.Current(); current != nil {
 		in.Policy = current.Config.Policy(r.Service)
 	}
 	if r.State != rollout.Running {
 		return in
 	}
-	for _, z := range c.d.Evidence.Gather(ctx, r.ID) {
+	for _, z := range c.d.Evidence.Gather(ctx, r.ID, r.Service) {
 		if z.Reached {
 			s.heard[z.Zone] = c.d.Now()
 			s.detector.Observe(c.d.Now(), z.Zone, z.Reports)
 		}
-		if c.d.Now().Sub(s.heard[z.Zone]) > _evidenceLifetime && !contains(fleet.LeftOut, z.Zone) {
+		if c.d.Now().Sub(s.heard[z.Zone]) > _evidenceLifetime && !z.LeftOut {
 			in.StaleZones = append(in.StaleZones, z.Zone)
 		}
 	}
@@ -216,15 +221,6 @@
 	return in
 }
 
-func contains(zones []membership.Zone, zone membership.Zone) bool {
-	for _, z := range zones {
-		if z == zone {
-			return true
-		}
-	}
-	return false
-}
-
 // _namedHeldBack is how many members are named as holding a revision back.
 const _namedHeldBack = 3
 
--- a/membership/table.go
+++ b/membership/table.go
@@ -73,6 +73,8 @@
 
 	// generation grows with each change of any record.
 	generation atomic.Uint64
+	// changed holds a token after a change that nobody has waited for.
+	changed chan struct{}
 }
 
 type shard struct {
@@ -100,7 +102,7 @@
 
 // New returns a table that knows only this node.
 func New(timing Timing, self Member, rnd *rand.Rand, now time.Time) *Table {
-	t := &Table{timing: timing, self: self, zones: make(map[Zone]*shard), rnd: rnd}
+	t := &Table{timing: timing, self: self, zones: make(map[Zone]*shard), rnd: rnd, changed: make(chan struct{}, 1)}
 	t.Merge(now, self)
 	return t
 }
@@ -167,12 +169,27 @@
 	news := s.put(now, m)
 	s.mu.Unlock()
 	if news {
-		t.generation.Add(1)
+		t.touch()
 		t.enqueue(m)
 	}
 	return news
 }
 
+// touch notes that a record has changed.
+func (t *Table) touch() {
+	t.generation.Add(1)
+	select {
+	case t.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Changed returns a channel that gives a token after a record has changed. It
+// is for one reader.
+func (t *Table) Changed() <-chan struct{} {
+	return t.changed
+}
+
 // refute answers word of this node that is newer than its own record.
 func (t *Table) refute(now time.Time, m Member) bool {
 	t.selfMu.Lock()
@@ -352,7 +369,7 @@
 			case r.member.State.Gone() && now.Sub(r.since) >= t.timing.Tombstone:
 				s.hash ^= r.member.Hash()
 				delete(s.members, id)
-				t.generation.Add(1)
+				t.touch()
 			}
 		}
 		if zone == self.Zone {
--- a/node/applied.go
+++ b/node/applied.go
@@ -7,6 +7,7 @@
 
 	"connectrpc.com/connect"
 
+	"lentilferry.example/lentilferry/config"
 	lentilferryv1 "lentilferry.example/lentilferry/gen/lentilferry/v1"
 	"lentilferry.example/lentilferry/membership"
 	"lentilferry.example/lentilferry/wire"
@@ -51,13 +52,8 @@
 
 // InForce asks each zone's collector what is in force there.
 func (n *Node) InForce(ctx context.Context, now time.Time) membership.InForce {
-	var leftOut []membership.Zone
-	for _, d := range n.table.Digests(now) {
-		if d.Age > n.d.Periods.LeaveOutAfter {
-			leftOut = append(leftOut, d.Zone)
-		}
-	}
-	zones := eachZone(n, func(zone membership.Zone) membership.ZoneApplied {
+	leftOut := n.leftOut(now)
+	zones := eachZone(n.liveZones(""), func(zone membership.Zone) membership.ZoneApplied {
 		if slices.Contains(leftOut, zone) {
 			return membership.ZoneApplied{Zone: zone}
 		}
@@ -66,6 +62,17 @@
 	return membership.MergeInForce(zones, leftOut)
 }
 
+// leftOut returns the zones that were not heard of for too long.
+func (n *Node) leftOut(now time.Time) []membership.Zone {
+	var zones []membership.Zone
+	for _, d := range n.table.Digests(now) {
+		if d.Age > n.d.Periods.LeaveOutAfter {
+			zones = append(zones, d.Zone)
+		}
+	}
+	return zones
+}
+
 func (n *Node) zoneApplied(ctx context.Context, zone membership.Zone) membership.ZoneApplied {
 	members := n.table.Zone(zone)
 	collector, ok := n.collectorOf(zone)
@@ -84,12 +91,18 @@
 	return wire.DecodeZoneApplied(zone, response.Msg)
 }
 
-// eachZone asks all zones at once. Zones whose members are all gone are left
-// out.
-func eachZone[T any](n *Node, ask func(zone membership.Zone) T) []T {
-	zones := slices.DeleteFunc(append(n.table.OtherZones(), n.d.Zone), func(zone membership.Zone) bool {
-		return !slices.ContainsFunc(n.table.Zone(zone), func(m membership.Member) bool { return !m.State.Gone() })
+// liveZones returns the zones that have a member which is not gone, of the
+// given service unless that is empty.
+func (n *Node) liveZones(service config.ServiceName) []membership.Zone {
+	return slices.DeleteFunc(append(n.table.OtherZones(), n.d.Zone), func(zone membership.Zone) bool {
+		return !slices.ContainsFunc(n.table.Zone(zone), func(m membership.Member) bool {
+			return !m.State.Gone() && (service == "" || m.Service == service)
+		})
 	})
+}
+
+// eachZone asks all zones at once.
+func eachZone[T any](zones []membership.Zone, ask func(zone membership.Zone) T) []T {
 	answers := make(chan T, len(zones))
 	for _, zone := range zones {
 		go func() { answers <- ask(zone) }()
--- a/node/node.go
+++ b/node/node.go
@@ -362,7 +362,7 @@
 	loop(p.Evidence, n.reportEvidence)
 	loop(p.Evidence, n.tellApplied)
 	loop(p.Control, n.controlStep)
-	loop(_refreshEvery, n.refresh)
+	group.Go(func() error { n.keepFresh(ctx); return nil })
 	group.Go(func() error { n.watchHead(ctx); return nil })
 }
 
--- a/node/steps.go
+++ b/node/steps.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -21,8 +22,10 @@
 )
 
 const (
-	// _refreshEvery is the time between updates of what calls are routed by.
-	_refreshEvery = 50 * time.Millisecond
+	// _refreshLeast is the least time between updates of what calls are routed
+	// by, and _refreshMost the longest.
+	_refreshLeast = 20 * time.Millisecond
+	_refreshMost  = time.Second
 	// _poolEvery is the time between updates of the upstreams to choose from
 	// while no member changes; updates cost about a microsecond a member.
 	_poolEvery = time.Second
@@ -65,9 +68,27 @@
 	}
 }
 
+// keepFresh refreshes after each change of the revision or of a member.
+func (n *Node) keepFresh(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.holder.Changed():
+		case <-n.table.Changed():
+		case <-timer.C:
+		}
+		n.refresh()
+		wait(ctx, _refreshLeast)
+		timer.Reset(_refreshMost)
+	}
+}
+
 // refresh brings routes, upstreams, evidence and this node's record up to
 // date with the revision in force and the members.
-func (n *Node) refresh(context.Context) {
+func (n *Node) refresh() {
 	now := n.d.Now()
 	current := n.holder.Current()
 	if current == nil || current.Manifest.Number < n.table.Floor() {
@@ -86,7 +107,6 @@
 		n.pooled, n.pooledAt = generation, now
 		n.pool.Update(n.reachable(now))
 	}
-	n.gate.Expire(now)
 }
 
 // reachable returns the members for calls. Those of a zone that was not heard
@@ -231,10 +251,14 @@
 	}
 }
 
-// Gather reads the evidence of all zones at once.
-func (n *Node) Gather(ctx context.Context, rollout string) []control.ZoneReports {
-	return eachZone(n, func(zone membership.Zone) control.ZoneReports {
-		return n.gatherZone(ctx, zone, rollout)
+// Gather reads the evidence on a rollout from all zones that have upstreams of
+// its service.
+func (n *Node) Gather(ctx context.Context, rollout string, service config.ServiceName) []control.ZoneReports {
+	leftOut := n.leftOut(n.d.Now())
+	return eachZone(n.liveZones(service), func(zone membership.Zone) control.ZoneReports {
+		reports := n.gatherZone(ctx, zone, rollout)
+		reports.LeftOut = slices.Contains(leftOut, zone)
+		return reports
 	})
 }
 
--- a/rollout/step.go
+++ b/rollout/step.go
@@ -16,7 +16,8 @@
 type Inputs struct {
 	// Epoch is that of the controller's lease.
 	Epoch uint64
-	// InForce is the revision that is in force everywhere.
+	// InForce is the revision that is in force everywhere. It is needed while
+	// the rollout AwaitsForce.
 	InForce uint64
 	// HeldBackBy names zones or nodes that are behind, for the operator.
 	HeldBackBy string
@@ -47,6 +48,19 @@
 	Kind DecisionKind
 }
 
+// AwaitsForce reports whether the next transition waits for a revision to be
+// in force.
+func (r *Rollout) AwaitsForce() bool {
+	switch r.State {
+	case Running:
+		return r.StageRevision != 0 && (r.StageInForceAt.IsZero() || r.FinishRevision != 0)
+	case RollingBack:
+		return r.StageRevision != 0
+	default:
+		return false
+	}
+}
+
 // Decide makes the next transition that the inputs allow. The error is
 // ErrEpoch when another controller has taken over.
 func (r *Rollout) Decide(now time.Time, in Inputs) (Decision, error) {
@@ -81,7 +95,7 @@
 	if r.StageRevision == 0 {
 		return Decision{Kind: Commit}, nil
 	}
-	if in.InForce < max(r.StageRevision, r.FinishRevision) {
+	if r.AwaitsForce() && in.InForce < max(r.StageRevision, r.FinishRevision) {
 		return r.wait("revision %d to be in force; held back by %s", max(r.StageRevision, r.FinishRevision), in.HeldBackBy)
 	}
 	if r.FinishRevision != 0 {
