--- a/control/controller.go
+++ b/control/controller.go
@@ -213,9 +213,8 @@
 	}
 	in.Verdict = s.detector.Verdict()
 	for _, q := range c.d.Quarantines.All() {
-		if q.Rollout == r.ID && !in.Verdict.Bad {
-			in.Verdict.Bad = true
-			in.Verdict.Reason = "quarantined in zone " + string(q.Zone) + ": " + q.Reason
+		if q.Rollout == r.ID {
+			in.Quarantine = string(q.Zone) + ": " + q.Reason
 		}
 	}
 	return in
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -167,6 +167,7 @@
 func TestRunsIsNotGossiped(t *testing.T) {
 	table := newTable(member(0, "a"), 1)
 	for len(table.Updates()) > 0 {
+		continue
 	}
 	before := table.Digests(_start)
 	table.Runs(7)
--- /dev/null
+++ b/rollout/rollout_test.go
@@ -0,0 +1,168 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"lentilferry.example/lentilferry/config"
+	"lentilferry.example/lentilferry/evidence"
+)
+
+var _start = time.Unix(1_800_000_000, 0)
+
+func facts(weights []config.Weight) Facts {
+	return Facts{
+		Revision: 3,
+		Config: config.Config{
+			Services: []config.Service{{Name: "s", Weights: weights}},
+			Versions: []config.Version{{Service: "s", Name: "v1"}, {Service: "s", Name: "v2"}, {Service: "s", Name: "v3"}},
+			Policies: []config.Policy{{
+				Service: "s", Stages: []config.Share{100, 1000, config.FullShare},
+				MinDwell: 10 * time.Second, MinStageCalls: 5, ConvergenceAllowance: 5 * time.Second,
+			}},
+		},
+		Capacity: []ZoneCapacity{{Zone: "a", BaselineSlots: 10, CandidateSlots: 4}},
+	}
+}
+
+func intent() Intent {
+	return Intent{Service: "s", Version: "v2", Share: config.FullShare, Deadline: _start.Add(10 * time.Minute), Operator: "ann", Operation: "o"}
+}
+
+func TestPlans(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		weights []config.Weight
+		change  func(*Intent, *Facts)
+		shares  []config.Share
+		refusal string
+	}{
+		{name: "all", change: func(_ *Intent, f *Facts) { f.Capacity[0].CandidateSlots = 5 }, shares: []config.Share{100, 1000, 9800}},
+		{name: "a part", change: func(i *Intent, _ *Facts) { i.Share = 2000 }, shares: []config.Share{100, 1000, 2000}},
+		{name: "a small part", change: func(i *Intent, _ *Facts) { i.Share = 50 }, shares: []config.Share{50}},
+		{name: "on from a part", weights: config.Split("v1", "v2", 500), change: func(i *Intent, _ *Facts) { i.Share = 4000 }, shares: []config.Share{1000, 4000}},
+		{name: "no share", change: func(i *Intent, _ *Facts) { i.Share = 0 }, refusal: "share: 0% is out of range"},
+		{name: "has it", weights: config.Split("v1", "v2", 500), change: func(i *Intent, _ *Facts) { i.Share = 400 }, refusal: "v2 has 5% of s already"},
+		{name: "three versions", weights: []config.Weight{{Version: "v1", Share: 5000}, {Version: "v3", Share: 5000}}, change: func(*Intent, *Facts) {}, refusal: "s is split between 2 versions"},
+		{name: "no service", change: func(i *Intent, _ *Facts) { i.Service = "x" }, refusal: `service: "x" does not exist`},
+		{name: "no version", change: func(i *Intent, _ *Facts) { i.Version = "v9" }, refusal: `version: "v9" is not a version of s`},
+		{name: "being moved", change: func(_ *Intent, f *Facts) { f.Config.Services[0].Rollout.ID = "s.1" }, refusal: "is being moved by rollout s.1"},
+		{name: "no upstream", change: func(_ *Intent, f *Facts) { f.Capacity = nil }, refusal: "no upstream of s v2 takes work"},
+		{name: "too few slots", change: func(*Intent, *Facts) {}, refusal: "ask for 80% or less"},
+		{name: "too soon", change: func(i *Intent, f *Facts) {
+			f.Capacity[0].CandidateSlots = 5
+			i.Deadline = _start.Add(40 * time.Second)
+		}, refusal: "need 50s; the earliest deadline is"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			if test.weights == nil {
+				test.weights = config.Split("v1", "v2", 0)
+			}
+			i, f := intent(), facts(test.weights)
+			test.change(&i, &f)
+			r, err := New(_start, "s.1", i, f)
+			if test.refusal != "" {
+				assert.Assert(t, errors.Is(err, ErrInfeasible))
+				assert.ErrorContains(t, err, test.refusal)
+				return
+			}
+			assert.NilError(t, err)
+			var shares []config.Share
+			for _, s := range r.Stages {
+				shares = append(shares, s.Share)
+				assert.Assert(t, s.Dwell >= 10*time.Second)
+			}
+			assert.DeepEqual(t, shares, test.shares)
+			assert.Assert(t, !r.FinishAt.After(r.Deadline))
+		})
+	}
+}
+
+func running(t *testing.T) Rollout {
+	f := facts(config.Split("v1", "v2", 0))
+	f.Capacity[0].CandidateSlots = 10
+	r, err := New(_start, "s.1", intent(), f)
+	assert.NilError(t, err)
+	assert.NilError(t, r.Confirm(_start, "ann", "c", f.Config.Services[0]))
+	return r
+}
+
+// A stage goes on only when it is in force, observed, has its calls, and
+// nothing speaks against it; and the order of waiting is told.
+func TestDecide(t *testing.T) {
+	r := running(t)
+	in := Inputs{Epoch: 2, Policy: facts(nil).Config.Policies[0]}
+	now := _start
+	decide := func(kind DecisionKind, waiting string) {
+		t.Helper()
+		d, err := r.Decide(now, in)
+		assert.NilError(t, err)
+		assert.Equal(t, d.Kind, kind, r.WaitingFor)
+		if waiting != "" {
+			assert.Assert(t, len(r.WaitingFor) >= len(waiting) && r.WaitingFor[:len(waiting)] == waiting, r.WaitingFor)
+		}
+	}
+	decide(Commit, "")
+	assert.NilError(t, r.Committed(now, 7))
+	in.InForce = 6
+	decide(Wait, "revision 7 to be in force")
+	in.InForce = 7
+	decide(Save, "")
+	decide(Wait, "1% to be observed")
+	now = now.Add(3 * time.Minute)
+	decide(Wait, "5 calls at 1%; 0 seen")
+	in.Verdict.CandidateCalls = 9
+	in.Quarantine = "a: it fails"
+	decide(Wait, "a decision, since a zone has taken v2 out")
+	in.Quarantine = ""
+	in.StaleZones = append(in.StaleZones, "b")
+	decide(Wait, "current evidence from b")
+	in.StaleZones = nil
+	decide(Save, "")
+	assert.Equal(t, r.Share(), config.Share(1000))
+	assert.Equal(t, r.StageRevision, uint64(0))
+
+	// A controller of an earlier epoch is out.
+	in.Epoch = 1
+	_, err := r.Decide(now, in)
+	assert.Assert(t, errors.Is(err, ErrEpoch))
+
+	in.Epoch = 2
+	in.Verdict = evidence.Verdict{Bad: true, Reason: "it fails"}
+	decide(Save, "")
+	assert.Equal(t, r.State, RollingBack)
+	assert.Equal(t, r.Share(), config.Share(0))
+	assert.DeepEqual(t, r.ServiceAfterCommit(config.Service{Name: "s"}).Weights, config.Split("v1", "v2", 0))
+}
+
+// A late rollout shortens its stages, but not under the policy's least.
+func TestLateRolloutCatchesUp(t *testing.T) {
+	r := running(t)
+	policy := facts(nil).Config.Policies[0]
+	planned := r.Stages[0].Dwell
+	assert.Equal(t, r.dwell(_start, policy), planned)
+	late := r.dwell(r.Deadline.Add(-2*time.Minute), policy)
+	assert.Assert(t, late < planned && late >= policy.MinDwell, "%s", late)
+	assert.Equal(t, r.dwell(r.Deadline.Add(time.Hour), policy), policy.MinDwell)
+}
+
+func TestTransitionsOfEndedRollouts(t *testing.T) {
+	f := facts(config.Split("v1", "v2", 0))
+	r := running(t)
+	assert.ErrorContains(t, r.Reject(_start, "bob", "r"), "is running and can't be rejected; a running one can be rolled back")
+	assert.ErrorContains(t, r.Confirm(_start, "bob", "c2", f.Config.Services[0]), "can't be confirmed")
+	assert.NilError(t, r.Condemn(_start, "why", "x"))
+	assert.ErrorContains(t, r.Condemn(_start, "again", "y"), "is rollingBack")
+	var history Rollout
+	for range _maxHistory + 5 {
+		history.Follow(Rollout{ID: "old", History: history.History})
+	}
+	assert.Equal(t, len(history.History), _maxHistory)
+	for range _maxEvents + 5 {
+		history.log(_start, "x")
+	}
+	assert.Equal(t, len(history.Events), _maxEvents)
+}
--- a/rollout/step.go
+++ b/rollout/step.go
@@ -25,6 +25,8 @@
 	Verdict evidence.Verdict
 	// StaleZones are the zones whose evidence is not current.
 	StaleZones []membership.Zone
+	// Quarantine names a zone that has taken the candidate out, and why.
+	Quarantine string
 	// Policy is that of the service.
 	Policy config.Policy
 }
@@ -118,6 +120,8 @@
 		return r.wait("%g%% to be observed until %s", r.Share().Percent(), end.Format(time.TimeOnly))
 	case calls < in.Policy.MinStageCalls:
 		return r.wait("%d calls at %g%%; %d seen", in.Policy.MinStageCalls, r.Share().Percent(), calls)
+	case in.Quarantine != "":
+		return r.wait("a decision, since a zone has taken %s out of its traffic (%s): mend that upstream or roll back", r.Candidate, in.Quarantine)
 	case len(in.StaleZones) > 0:
 		return r.wait("current evidence from %s", joinZones(in.StaleZones))
 	case r.Stage == len(r.Stages)-1:
--- /dev/null
+++ b/wire/wire_test.go
@@ -0,0 +1,71 @@
+package wire_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+	"pgregory.net/rapid"
+
+	"lentilferry.example/lentilferry/config"
+	"lentilferry.example/lentilferry/internal/testseed"
+	"lentilferry.example/lentilferry/membership"
+	"lentilferry.example/lentilferry/rollout"
+	"lentilferry.example/lentilferry/wire"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
+
+// Every field of a rollout survives the platform: a field that the codec
+// forgets is zero on the way back.
+func TestRolloutKeepsEveryField(t *testing.T) {
+	at := time.Unix(1_800_000_000, 5)
+	r := rollout.Rollout{
+		ID: "s.1", Service: "s", Baseline: "v1", Candidate: "v2", FromShare: 1, TargetShare: 2, Deadline: at, PlannedAt: at.Add(1),
+		ExpiresAt: at.Add(2), FinishAt: at.Add(3), BaseRevision: 4, Stages: []rollout.Stage{{Share: 5, Dwell: 6}, {Share: 7, Dwell: 8}},
+		Capacity: []rollout.ZoneCapacity{{Zone: "a", BaselineUpstreams: 1, CandidateUpstreams: 2, BaselineSlots: 3, CandidateSlots: 4}},
+		State:    rollout.Running, Stage: 1, StageRevision: 9, FinishRevision: 10, StageInForceAt: at.Add(4), StageStartCalls: 11, Epoch: 12,
+		Operator: "ann", LastOperation: "l", ConfirmOperation: "c", Reason: "r", WaitingFor: "w", CandidateCalls: 13, CandidateFailures: 14,
+		BaselineCalls: 15, Events: []rollout.Event{{At: at, Text: "e"}},
+		History: []rollout.Summary{{ID: "s.0", Candidate: "v0", State: rollout.RolledBack, EndedAt: at, Reason: "h"}},
+	}
+	value, err := wire.MarshalRollout(r)
+	assert.NilError(t, err)
+	got, err := wire.UnmarshalRollout(value)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, r)
+}
+
+// Configurations and members survive the wire, and damaged bytes are refused
+// or read as something valid, never with a panic.
+func TestDamagedBytes(t *testing.T) {
+	c := config.Config{
+		Services: []config.Service{{Name: "s", Weights: config.Split("v1", "v2", 5), Rollout: config.RolloutMark{ID: "x", Baseline: "v1", Candidate: "v2"}}},
+		Versions: []config.Version{{Service: "s", Name: "v1"}, {Service: "s", Name: "v2"}},
+		Routes:   []config.Route{{Name: "r", Service: "s", Host: "h", PathPrefix: "/", Class: config.ClassCommand, Timeout: time.Second}},
+		Policies: []config.Policy{config.DefaultPolicy("s")},
+	}
+	resources, err := wire.Codec{}.EncodeConfig(c)
+	assert.NilError(t, err)
+	back, err := wire.Codec{}.DecodeConfig(resources)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, back, c)
+	rapid.Check(t, func(t *rapid.T) {
+		damaged := resources[rapid.IntRange(0, len(resources)-1).Draw(t, "which")]
+		damaged.Value = append([]byte(nil), damaged.Value...)
+		damaged.Value[rapid.IntRange(0, len(damaged.Value)-1).Draw(t, "at")] ^= byte(rapid.IntRange(1, 255).Draw(t, "bits"))
+		if _, err := (wire.Codec{}).DecodeConfig(append(resources[:0:0], damaged)); err == nil {
+			return
+		}
+		_, _ = wire.UnmarshalRollout(damaged.Value)
+		_, _ = wire.Codec{}.DecodeManifest(damaged.Value)
+	})
+}
+
+func TestMalformedMembersAreLeftOut(t *testing.T) {
+	good := membership.Member{ID: "n", Zone: "a", State: membership.Serving, Slots: 3, Revision: 4, Suspected: true}
+	messages := wire.EncodeMembers([]membership.Member{good, {Zone: "a", State: membership.Serving}, {ID: "n", State: membership.Serving}, {ID: "n", Zone: "a"}})
+	assert.Assert(t, cmp.DeepEqual(wire.DecodeMembers(messages)[0].Slots, good.Slots))
+	assert.Equal(t, len(wire.DecodeMembers(messages)), 1)
+}
