revision: Don't call a commit refused while a write of it may be under way

Cause: reading the committer again: when the answer to a head update was lost and the next try was refused, for instance because the configuration had become invalid, the commit was called refused, although the first write could still arrive while the head had the version it was conditional on. Change: a refusal counts only once the head was read with another version; else the outcome is not known, and the operator is told to look or to repeat. Measured: TestWriteUnderWayIsNotRefused fails on the code before (refused) and passes now.

--- a/control/controller.go
+++ b/control/controller.go
@@ -232,8 +232,11 @@
 		}
 		names = append(names, name)
 	}
-	if len(held) > _namedHeldBack {
+	switch {
+	case len(held) > _namedHeldBack:
 		names = append(names, "others")
+	case len(held) == 0:
+		names = append(names, "nodes that have not said so yet")
 	}
 	return strings.Join(names, ", ")
 }
--- a/quickstart/callers.go
+++ b/quickstart/callers.go
@@ -149,6 +149,9 @@
 func (c *callers) shares() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.sinceMark.answered == 0 {
+		return "no calls since the last line"
+	}
 	parts := make([]string, 0, len(c.sinceMark.byVersion))
 	for version, n := range c.sinceMark.byVersion {
 		parts = append(parts, fmt.Sprintf("%s %.1f%%", version, 100*float64(n)/float64(c.sinceMark.answered)))
--- a/revision/committer.go
+++ b/revision/committer.go
@@ -134,38 +134,65 @@
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval = _firstPause
 	pause.MaxInterval = _longestPause
-	unsure := false
-	var last error
+	var last attempt
+	unsure := make(map[uint64]bool)
 	for range _maxCommitTries {
-		outcome, retry := c.try(ctx, now, request)
-		if !retry {
-			return outcome
+		last = c.try(ctx, now, request)
+		if !last.retry {
+			break
+		}
+		if last.outcome.Result == Unresolved {
+			unsure[last.head] = true
 		}
-		unsure = unsure || outcome.Result == Unresolved
-		last = outcome.Err
 		select {
 		case <-time.After(pause.NextBackOff()):
 		case <-ctx.Done():
-			return giveUp(unsure, last)
+			return last.settle(unsure)
 		}
 	}
-	return giveUp(unsure, last)
+	return last.settle(unsure)
+}
+
+// attempt is one try of a commit.
+type attempt struct {
+	outcome CommitOutcome
+	// head is the version of the head object that was read, and readHead
+	// whether it could be.
+	head     uint64
+	readHead bool
+	// retry is set when another try may help.
+	retry bool
 }
 
-func giveUp(unsure bool, last error) CommitOutcome {
-	if unsure {
-		return CommitOutcome{Result: Unresolved, Err: errors.Wrap(last, "the commit may have taken effect")}
+// settle returns the outcome of the whole commit. Unsure holds the versions of
+// the head over which writes of unknown outcome were sent: while the head still
+// has such a version, or can't be read, the write may yet take effect, and the
+// commit is not refused.
+func (a attempt) settle(unsure map[uint64]bool) CommitOutcome {
+	outcome := a.outcome
+	if outcome.Result != Refused && outcome.Result != Unresolved {
+		return outcome
+	}
+	if len(unsure) > 0 && (!a.readHead || unsure[a.head]) {
+		return CommitOutcome{Result: Unresolved, Err: errors.Wrap(outcome.Err, "the commit may have taken effect")}
 	}
-	return CommitOutcome{Result: Refused, Err: errors.Wrap(last, "nothing was committed")}
+	return CommitOutcome{Result: Refused, Err: errors.Wrap(outcome.Err, "nothing was committed")}
 }
 
-// try makes one try and reports whether another may help. An outcome that
-// needs no other try was decided on a head read after all earlier tries.
-func (c *Committer) try(ctx context.Context, now time.Time, request CommitRequest) (CommitOutcome, bool) {
+// try makes one try.
+func (c *Committer) try(ctx context.Context, now time.Time, request CommitRequest) attempt {
 	base, version, err := c.readHead(ctx)
 	if err != nil {
-		return CommitOutcome{Result: Refused, Err: err}, errors.Is(err, platform.ErrUnavailable)
+		return attempt{outcome: CommitOutcome{Result: Refused, Err: err}, retry: errors.Is(err, platform.ErrUnavailable)}
 	}
+	a := attempt{head: version, readHead: true}
+	a.outcome, a.retry = c.tryOver(ctx, now, request, base, version)
+	return a
+}
+
+// tryOver makes one try over the head that was read, and reports whether
+// another may help.
+func (c *Committer) tryOver(ctx context.Context, now time.Time, request CommitRequest, base *Snapshot, version uint64) (CommitOutcome, bool) {
 	var current config.Config
 	if base != nil {
 		if number, ok := base.Manifest.Applied(request.Operation); ok {
--- a/revision/revision_test.go
+++ b/revision/revision_test.go
@@ -120,6 +120,38 @@
 	assert.Equal(t, headNumber(t, p), uint64(3))
 }
 
+// A write whose answer was lost may still be under way when a later try is
+// refused: while the head is as it was, the commit is not called refused.
+func TestWriteUnderWayIsNotRefused(t *testing.T) {
+	for _, moved := range []bool{false, true} {
+		p := fakeplatform.New()
+		assert.Equal(t, commit(p, revision.NewHolder(), "op-0", numbered(0)).Result, revision.Committed)
+		tries := 0
+		got := revision.NewCommitter(slowHead{Platform: p}, wire.Codec{}, revision.NewHolder()).Commit(context.Background(), _now, revision.CommitRequest{
+			Operation: "op-1",
+			Change: func(context.Context, config.Config) (config.Config, error) {
+				if tries++; tries == 1 {
+					return numbered(1), nil
+				}
+				return config.Config{}, errors.New("no longer wanted")
+			},
+		})
+		assert.Equal(t, got.Result, revision.Unresolved, "%v", got.Err)
+		if moved {
+			assert.Equal(t, commit(p, revision.NewHolder(), "op-2", numbered(2)).Result, revision.Committed)
+			got = commit(p, revision.NewHolder(), "op-1", config.Config{Routes: numbered(0).Routes})
+			assert.Equal(t, got.Result, revision.Refused)
+		}
+	}
+}
+
+// slowHead holds writes of the head back for longer than their callers wait.
+type slowHead struct{ *fakeplatform.Platform }
+
+func (slowHead) Update(context.Context, platform.Key, uint64, []byte) platform.WriteOutcome {
+	return platform.WriteOutcome{Result: platform.Unknown, Err: platform.ErrUnavailable}
+}
+
 // A committer that sleeps between its read and its write does not overwrite
 // what came meanwhile.
 func TestPausedCommitterDoesNotOverwrite(t *testing.T) {
