call: Don't count a planned stop against an upstream's version

Cause: reading the owner again: every refusal at the gate counted as a failure of the upstream's version, those of a leaving upstream too, so that a planned stop of a candidate's upstream could speak for a rollback. Change: only overload counts. A second signal ends the daemon at once.

--- a/call/limits_test.go
+++ b/call/limits_test.go
@@ -210,6 +210,8 @@
 	group.Wait()
 	assert.Equal(t, refused.Load(), int64(3))
 	assert.Equal(t, frozen.calls.Load(), int64(_testSlots))
+	// Overload does: a version that can't keep up is a bad one.
+	assert.Assert(t, p.owners[0].seen.failures.Load() >= 3)
 }
 
 // A planned stop finishes what is in flight and refuses what is new.
@@ -235,6 +237,9 @@
 	assert.Equal(t, got.body, "first last")
 	assert.Assert(t, !got.broken)
 	p.owners[0].Wait()
+	// A planned stop does not speak against the version.
+	assert.Equal(t, p.owners[0].seen.failures.Load(), int64(0))
+	assert.Equal(t, p.owners[0].seen.calls.Load(), int64(1))
 }
 
 // A caller that goes away ends its call at the upstream.
--- a/call/owner.go
+++ b/call/owner.go
@@ -109,13 +109,21 @@
 	}
 	ticket, reason := p.enter(ctx)
 	if reason != "" {
-		p.observe(true)
+		if overloaded(reason) {
+			p.observe(true)
+		}
 		p.owner.refuse(p.writer, reason)
 		return
 	}
 	p.run(ctx, ticket)
 }
 
+// overloaded reports whether a refusal speaks against the upstream's version:
+// one that is leaving, or whose caller gave up, does not.
+func overloaded(reason Reason) bool {
+	return reason == Reason(admission.ReasonQueueFull) || reason == Reason(admission.ReasonTooLate)
+}
+
 // claim makes sure that a call that may run once only did not arrive before.
 func (p *passage) claim() Verdict {
 	if repeatable(p.request.Method) {
--- a/call/path_test.go
+++ b/call/path_test.go
@@ -41,6 +41,7 @@
 type owner struct {
 	member membership.Member
 	gate   *admission.Gate
+	seen   *observer
 	*call.Owner
 }
 
@@ -49,9 +50,15 @@
 func (r routes) Table() *routing.Table                      { return r.table }
 func (r routes) Excluded(config.Service) config.VersionName { return "" }
 
-type noObserver struct{}
+// observer counts what an owner holds against its upstream.
+type observer struct{ calls, failures atomic.Int64 }
 
-func (noObserver) Observe(time.Time, evidence.Observation) {}
+func (o *observer) Observe(_ time.Time, seen evidence.Observation) {
+	o.calls.Add(1)
+	if seen.Failed {
+		o.failures.Add(1)
+	}
+}
 
 const _testSlots = 2
 
@@ -91,7 +98,7 @@
 
 func newOwner(t testing.TB, id membership.NodeID, upstream netip.AddrPort) *owner {
 	t.Helper()
-	o := &owner{gate: admission.New(admission.DefaultLimits(_testSlots))}
+	o := &owner{gate: admission.New(admission.DefaultLimits(_testSlots)), seen: &observer{}}
 	o.member = membership.Member{
 		ID: id, Incarnation: 1, State: membership.Serving, Zone: "a", Region: "r",
 		Service: "s", Version: "v1", Slots: _testSlots,
@@ -102,7 +109,7 @@
 		Transport: call.NewUpstreamTransport(_testSlots),
 		Gate:      o.gate,
 		Record:    identity.New(time.Now(), config.MaxTimeout, 1000),
-		Observer:  noObserver{},
+		Observer:  o.seen,
 		Metrics:   call.NewMetrics(new(expvar.Map), "owner"),
 		Now:       time.Now,
 	})
--- a/lentilferryd/main.go
+++ b/lentilferryd/main.go
@@ -125,16 +125,25 @@
 			return operator.New(n, time.Now).Handler()
 		},
 	})
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		<-signals
-		n.Stop()
-	}()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go stopOnSignal(n, cancel)
 	klog.InfoS("Listening", "node", s.ID, "calls", s.CallAddress, "peers", s.PeerAddress, "admin", s.AdminAddress)
 	return n.Run(ctx)
 }
 
+// stopOnSignal stops the node as planned on the first signal, and at once on
+// the second.
+func stopOnSignal(n *node.Node, cancel context.CancelFunc) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	n.Stop()
+	<-signals
+	klog.InfoS("Stopping at once", "cause", "a second signal")
+	cancel()
+}
+
 func listen(ctx context.Context, s settings.Settings) (node.Listeners, error) {
 	var l node.Listeners
 	for _, socket := range []struct {
