--- a/commands/commands_test.go
+++ b/commands/commands_test.go
@@ -165,6 +165,8 @@
 	d.want(ExitDone, "Exit codes", "--help")
 	d.want(ExitDone, "--by", "plan", "--help")
 	d.want(ExitDone, "lentilferry 0", "version")
+	d.want(ExitDone, `"version": "0`, "version", "--output", "json")
+	d.want(ExitDone, "valid: ", "config", "validate", "--output", "yaml", filepath.Join(d.dir, "mesh.yaml"))
 }
 
 // A node that takes a request and breaks off leaves the outcome open; one that
--- a/commands/state.go
+++ b/commands/state.go
@@ -10,6 +10,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v4"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/structpb"
 
 	"lentilferry.example/lentilferry/common"
 	"lentilferry.example/lentilferry/config"
@@ -108,10 +110,10 @@
 		Name:      "version",
 		Usage:     "lentilferry version",
 		ShortHelp: "print this program's version",
+		LongHelp:  "Example: lentilferry version --output json",
 		Flags:     ff.NewFlagSet("version").SetParent(parent),
 		Exec: func(context.Context, []string) error {
-			_, err := fmt.Fprintln(c.env.Stdout, "lentilferry "+common.Version)
-			return errors.Wrap(err, "write version")
+			return c.print(text("version", common.Version), func() string { return "lentilferry " + common.Version + "\n" })
 		},
 	}
 }
@@ -147,12 +149,16 @@
 			if _, err := config.ParseYAML(document, config.Config{}); err != nil {
 				return errors.Wrapf(errUsage, "%s is not valid:\n  %s", args[0], strings.ReplaceAll(err.Error(), "\n", "\n  "))
 			}
-			_, err = fmt.Fprintf(c.env.Stdout, "%s is valid.\n", args[0])
-			return errors.Wrap(err, "write answer")
+			return c.print(text("valid", args[0]), func() string { return args[0] + " is valid.\n" })
 		},
 	}
 }
 
+// text returns an answer with one field.
+func text(name, value string) proto.Message {
+	return &structpb.Struct{Fields: map[string]*structpb.Value{name: structpb.NewStringValue(value)}}
+}
+
 // documentCommand returns a command that sends a file to a node.
 func (c *cli) documentCommand(parent *ff.FlagSet, name, help string, dryRun bool) *ff.Command {
 	return &ff.Command{
