lentilferry: Name things by the field's terms

Cause: a newcomer meets words of our own: a carriage, a passage, a farewell, an operator's word, word of a member. Change: ingressCall, ownerCall, tellLeaving, Action, record and state of a member. Nothing else changes.

--- a/call/ingress.go
+++ b/call/ingress.go
@@ -81,7 +81,7 @@
 	target := a.target
 	ctx, cancel := context.WithDeadline(r.Context(), now.Add(a.left))
 	defer cancel()
-	c := &carriage{
+	c := &ingressCall{
 		ingress:  i,
 		writer:   w,
 		request:  r,
@@ -158,8 +158,8 @@
 	return hex.EncodeToString(id[:])
 }
 
-// carriage is one call on its way.
-type carriage struct {
+// ingressCall is one call on its way.
+type ingressCall struct {
 	ingress  *Ingress
 	writer   http.ResponseWriter
 	request  *http.Request
@@ -174,7 +174,7 @@
 
 // carry tries upstreams until the call is answered, may not be sent again, or
 // nothing is left to try.
-func (c *carriage) carry(ctx context.Context) {
+func (c *ingressCall) carry(ctx context.Context) {
 	last := Verdict{Outcome: NotRun, Reason: ReasonNoUpstream}
 	for attempt := 1; attempt <= _maxAttempts; attempt++ {
 		endpoint, ok := c.choose()
@@ -215,7 +215,7 @@
 
 // choose returns the upstream for the next try. When the version has none
 // left, the baseline takes the call, never the candidate of a rollout.
-func (c *carriage) choose() (*routing.Endpoint, bool) {
+func (c *ingressCall) choose() (*routing.Endpoint, bool) {
 	service := c.target.Service
 	now := c.ingress.d.Now()
 	endpoint, ok := c.ingress.d.Endpoints.Choose(now, service.Name, c.version, c.tried)
@@ -225,7 +225,7 @@
 	return c.ingress.d.Endpoints.Choose(now, service.Name, service.Rollout.Baseline, c.tried)
 }
 
-func (c *carriage) mayRetry(ctx context.Context, v Verdict) bool {
+func (c *ingressCall) mayRetry(ctx context.Context, v Verdict) bool {
 	if ctx.Err() != nil || !c.body.replayable() {
 		return false
 	}
@@ -239,7 +239,7 @@
 
 // try sends the call to one upstream. When the verdict is Answered, the
 // answer was passed on.
-func (c *carriage) try(ctx context.Context, endpoint *routing.Endpoint, attempt int) Verdict {
+func (c *ingressCall) try(ctx context.Context, endpoint *routing.Endpoint, attempt int) Verdict {
 	endpoint.Begin()
 	defer endpoint.End()
 	body := c.body.attempt()
@@ -292,7 +292,7 @@
 }
 
 // learn takes in what an answer says of the upstream.
-func (c *carriage) learn(endpoint *routing.Endpoint, response *http.Response) {
+func (c *ingressCall) learn(endpoint *routing.Endpoint, response *http.Response) {
 	now := c.ingress.d.Now()
 	if load, err := strconv.Atoi(response.Header.Get(headerLoad)); err == nil {
 		endpoint.Loaded(now, load)
@@ -307,7 +307,7 @@
 	}
 }
 
-func (c *carriage) answer(response *http.Response) {
+func (c *ingressCall) answer(response *http.Response) {
 	if err := copyAnswer(c.writer, response); err != nil {
 		c.ingress.d.Metrics.count(Verdict{Outcome: Unknown, Reason: ReasonBroken})
 		c.ingress.d.Logger.Info("Broke off answer", "call", c.id, "cause", err)
@@ -317,7 +317,7 @@
 }
 
 // forward returns the request as the upstream's owner gets it.
-func (c *carriage) forward(ctx context.Context, endpoint *routing.Endpoint, attempt int, body *attemptBody) *http.Request {
+func (c *ingressCall) forward(ctx context.Context, endpoint *routing.Endpoint, attempt int, body *attemptBody) *http.Request {
 	out := outgoing(ctx, c.request, endpoint.Address, body)
 	call := forwarded{
 		id:      c.id,
@@ -341,7 +341,7 @@
 	return host
 }
 
-func (c *carriage) log(endpoint *routing.Endpoint, attempt int, v Verdict, took time.Duration) {
+func (c *ingressCall) log(endpoint *routing.Endpoint, attempt int, v Verdict, took time.Duration) {
 	c.ingress.d.Logger.Info("Routed call",
 		"call", c.id,
 		"route", c.target.Route.Name,
--- a/call/owner.go
+++ b/call/owner.go
@@ -81,7 +81,7 @@
 		o.refuse(w, ReasonWrongOwner)
 		return
 	}
-	p := &passage{owner: o, writer: w, request: r, forwarded: f, arrived: now, deadline: now.Add(left)}
+	p := &ownerCall{owner: o, writer: w, request: r, forwarded: f, arrived: now, deadline: now.Add(left)}
 	ctx, cancel := context.WithDeadline(r.Context(), p.deadline)
 	defer cancel()
 	limitReading(w, r, p.deadline)
@@ -92,8 +92,8 @@
 	p.pass(ctx)
 }
 
-// passage is one call on its way through its owner.
-type passage struct {
+// ownerCall is one call on its way through its owner.
+type ownerCall struct {
 	owner     *Owner
 	writer    http.ResponseWriter
 	request   *http.Request
@@ -102,7 +102,7 @@
 	deadline  time.Time
 }
 
-func (p *passage) pass(ctx context.Context) {
+func (p *ownerCall) pass(ctx context.Context) {
 	if verdict := p.claim(); verdict.Outcome != Answered {
 		p.owner.answerVerdict(p.writer, verdict)
 		return
@@ -125,7 +125,7 @@
 }
 
 // claim makes sure that a call that may run once only did not arrive before.
-func (p *passage) claim() Verdict {
+func (p *ownerCall) claim() Verdict {
 	if repeatable(p.request.Method) {
 		return Verdict{Outcome: Answered}
 	}
@@ -140,7 +140,7 @@
 }
 
 // enter waits for a slot. The reason is empty when the call was admitted.
-func (p *passage) enter(ctx context.Context) (*admission.Ticket, Reason) {
+func (p *ownerCall) enter(ctx context.Context) (*admission.Ticket, Reason) {
 	gate := p.owner.d.Gate
 	ticket := gate.Enter(p.arrived, admission.Request{
 		Class:    p.forwarded.class,
@@ -168,7 +168,7 @@
 	return ticket, Reason(ticket.Reason())
 }
 
-func (p *passage) run(ctx context.Context, ticket *admission.Ticket) {
+func (p *ownerCall) run(ctx context.Context, ticket *admission.Ticket) {
 	o := p.owner
 	result := admission.Done
 	defer func() { o.d.Gate.Leave(o.d.Now(), ticket, result) }()
@@ -190,7 +190,7 @@
 	p.answer(response)
 }
 
-func (p *passage) answer(response *http.Response) {
+func (p *ownerCall) answer(response *http.Response) {
 	o := p.owner
 	switch {
 	case response.Header.Get(HeaderOutcome) == NotRun.String():
@@ -216,11 +216,11 @@
 }
 
 // observe records a call that got no answer.
-func (p *passage) observe(failed bool) {
+func (p *ownerCall) observe(failed bool) {
 	p.record(p.owner.d.Now().Sub(p.arrived), failed)
 }
 
-func (p *passage) record(took time.Duration, failed bool) {
+func (p *ownerCall) record(took time.Duration, failed bool) {
 	p.owner.d.Observer.Observe(p.owner.d.Now(), evidence.Observation{Route: p.forwarded.route, Failed: failed, Took: took})
 }
 
--- a/commands/rollout.go
+++ b/commands/rollout.go
@@ -86,8 +86,8 @@
 	return deadline, nil
 }
 
-// wordCommand returns a command that gives an operator's word on a rollout.
-func (c *cli) wordCommand(parent *ff.FlagSet, name, help string, send func(ctx context.Context, id string) error) *ff.Command {
+// rolloutCommand returns a command that asks something of a rollout.
+func (c *cli) rolloutCommand(parent *ff.FlagSet, name, help string, send func(ctx context.Context, id string) error) *ff.Command {
 	return &ff.Command{
 		Name:      name,
 		Usage:     "lentilferry " + name + " ROLLOUT",
@@ -105,7 +105,7 @@
 }
 
 func (c *cli) confirmCommand(parent *ff.FlagSet) *ff.Command {
-	return c.wordCommand(parent, "confirm", "start a planned rollout", func(ctx context.Context, id string) error {
+	return c.rolloutCommand(parent, "confirm", "start a planned rollout", func(ctx context.Context, id string) error {
 		request := &lentilferryv1.ConfirmRequest{Id: id, Operator: *c.operator, Operation: newOperation()}
 		answer, err := ask(ctx, c, request, lentilferryv1connect.OperatorServiceClient.Confirm)
 		if err != nil {
@@ -119,7 +119,7 @@
 }
 
 func (c *cli) rejectCommand(parent *ff.FlagSet) *ff.Command {
-	return c.wordCommand(parent, "reject", "end a planned rollout; nothing was changed", func(ctx context.Context, id string) error {
+	return c.rolloutCommand(parent, "reject", "end a planned rollout; nothing was changed", func(ctx context.Context, id string) error {
 		request := &lentilferryv1.RejectRequest{Id: id, Operator: *c.operator, Operation: newOperation()}
 		answer, err := ask(ctx, c, request, lentilferryv1connect.OperatorServiceClient.Reject)
 		if err != nil {
@@ -130,7 +130,7 @@
 }
 
 func (c *cli) rollbackCommand(parent *ff.FlagSet) *ff.Command {
-	return c.wordCommand(parent, "rollback", "take a running rollout back", func(ctx context.Context, id string) error {
+	return c.rolloutCommand(parent, "rollback", "take a running rollout back", func(ctx context.Context, id string) error {
 		request := &lentilferryv1.RollbackRequest{Id: id, Operator: *c.operator, Operation: newOperation()}
 		answer, err := ask(ctx, c, request, lentilferryv1connect.OperatorServiceClient.Rollback)
 		if err != nil {
@@ -147,7 +147,7 @@
 const _watchEvery = time.Second
 
 func (c *cli) watchCommand(parent *ff.FlagSet) *ff.Command {
-	return c.wordCommand(parent, "watch", "follow a rollout to its end", func(ctx context.Context, id string) error {
+	return c.rolloutCommand(parent, "watch", "follow a rollout to its end", func(ctx context.Context, id string) error {
 		last := ""
 		for {
 			r, err := c.find(ctx, id)
--- a/commands/state.go
+++ b/commands/state.go
@@ -102,7 +102,7 @@
 		})
 	}
 	return "As " + answer.GetSelf() + " knows them:\n" +
-		table("ZONE\tNODE\tSTATE\tSERVICE\tVERSION\tSLOTS\tPEER\tWORD IS OLD BY", rows)
+		table("ZONE\tNODE\tSTATE\tSERVICE\tVERSION\tSLOTS\tPEER\tAGE OF STATE", rows)
 }
 
 func (c *cli) versionCommand(parent *ff.FlagSet) *ff.Command {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -164,7 +164,7 @@
 func (w *world) start(t assert.TestingT) rollout.Rollout {
 	planned, err := w.plan("plan-0")
 	assert.NilError(t, err)
-	r, err := w.operations.Confirm(context.Background(), Word{ID: planned.ID, Operator: "ann", Operation: "confirm-0"})
+	r, err := w.operations.Confirm(context.Background(), Action{ID: planned.ID, Operator: "ann", Operation: "confirm-0"})
 	assert.NilError(t, err)
 	return r
 }
@@ -373,7 +373,7 @@
 			time.Sleep(time.Duration(draw(1, 30)) * time.Second)
 		case 6:
 			if draw(0, 3) == 0 {
-				_, _ = w.operations.Rollback(ctx, Word{ID: planned.ID, Operator: "bob", Operation: "rollback-bob"})
+				_, _ = w.operations.Rollback(ctx, Action{ID: planned.ID, Operator: "bob", Operation: "rollback-bob"})
 			}
 		case 7:
 			w.bad = draw(0, 3) == 0
@@ -432,7 +432,7 @@
 					}
 					w.meddle = func() {}
 					w.controllers = []*Controller{other}
-					_, err := w.operations.Rollback(context.Background(), Word{ID: planned.ID, Operator: "bob", Operation: "rollback-0"})
+					_, err := w.operations.Rollback(context.Background(), Action{ID: planned.ID, Operator: "bob", Operation: "rollback-0"})
 					assert.NilError(t, err)
 					w.until(t, rollout.RolledBack)
 					assert.Equal(t, w.share(), config.Share(0))
@@ -468,11 +468,11 @@
 		w.meddle = func() {
 			if once {
 				once = false
-				_, err := w.operations.Reject(context.Background(), Word{ID: planned.ID, Operator: "bob", Operation: "reject-bob"})
+				_, err := w.operations.Reject(context.Background(), Action{ID: planned.ID, Operator: "bob", Operation: "reject-bob"})
 				assert.NilError(t, err)
 			}
 		}
-		_, err = w.operations.Confirm(context.Background(), Word{ID: planned.ID, Operator: "ann", Operation: "confirm-ann"})
+		_, err = w.operations.Confirm(context.Background(), Action{ID: planned.ID, Operator: "ann", Operation: "confirm-ann"})
 		assert.Assert(t, errors.Is(err, rollout.ErrState))
 		assert.ErrorContains(t, err, "is rejected")
 		w.steps(20)
@@ -486,7 +486,7 @@
 		planned, err := w.plan("plan-0")
 		assert.NilError(t, err)
 		time.Sleep(16 * time.Minute)
-		_, err = w.operations.Confirm(context.Background(), Word{ID: planned.ID, Operator: "ann", Operation: "c"})
+		_, err = w.operations.Confirm(context.Background(), Action{ID: planned.ID, Operator: "ann", Operation: "c"})
 		assert.Assert(t, errors.Is(err, rollout.ErrOutdated), "%v", err)
 		w.until(t, rollout.Expired)
 		next, err := w.plan("plan-1")
@@ -503,15 +503,15 @@
 		w := newWorld(t, 1)
 		planned, err := w.plan("plan-0")
 		assert.NilError(t, err)
-		word := Word{ID: planned.ID, Operator: "ann", Operation: "confirm-0"}
+		action := Action{ID: planned.ID, Operator: "ann", Operation: "confirm-0"}
 		w.platform.SetFaults(fakeplatform.Faults{LoseAnswers: true})
-		_, err = w.operations.Confirm(context.Background(), word)
+		_, err = w.operations.Confirm(context.Background(), action)
 		assert.NilError(t, err)
 		w.platform.SetFaults(fakeplatform.Faults{})
 		w.steps(30)
-		_, err = w.operations.Confirm(context.Background(), word)
+		_, err = w.operations.Confirm(context.Background(), action)
 		assert.NilError(t, err)
-		_, err = w.operations.Confirm(context.Background(), Word{ID: planned.ID, Operator: "bob", Operation: "confirm-1"})
+		_, err = w.operations.Confirm(context.Background(), Action{ID: planned.ID, Operator: "bob", Operation: "confirm-1"})
 		assert.Assert(t, errors.Is(err, rollout.ErrState))
 	})
 }
--- a/control/operations.go
+++ b/control/operations.go
@@ -42,8 +42,8 @@
 	return &Operations{d: d, store: store{platform: d.Platform}}
 }
 
-// Word is an operator's word on a rollout.
-type Word struct {
+// Action is what an operator asks of a rollout.
+type Action struct {
 	ID        string
 	Operator  string
 	Operation string
@@ -150,8 +150,8 @@
 
 // Confirm starts a planned rollout. The error is rollout.ErrState,
 // rollout.ErrOutdated or one of the platform's.
-func (o *Operations) Confirm(ctx context.Context, w Word) (rollout.Rollout, error) {
-	return o.change(ctx, w, func(ctx context.Context, now time.Time, r *rollout.Rollout) error {
+func (o *Operations) Confirm(ctx context.Context, a Action) (rollout.Rollout, error) {
+	return o.change(ctx, a, func(ctx context.Context, now time.Time, r *rollout.Rollout) error {
 		current, err := o.head(ctx)
 		if err != nil {
 			return err
@@ -160,22 +160,22 @@
 		if !ok {
 			return errors.Wrapf(rollout.ErrOutdated, "service %s no longer exists", r.Service)
 		}
-		return r.Confirm(now, w.Operator, w.Operation, service)
+		return r.Confirm(now, a.Operator, a.Operation, service)
 	})
 }
 
 // Reject ends a planned rollout. The error is as that of Confirm.
-func (o *Operations) Reject(ctx context.Context, w Word) (rollout.Rollout, error) {
-	return o.change(ctx, w, func(_ context.Context, now time.Time, r *rollout.Rollout) error {
-		return r.Reject(now, w.Operator, w.Operation)
+func (o *Operations) Reject(ctx context.Context, a Action) (rollout.Rollout, error) {
+	return o.change(ctx, a, func(_ context.Context, now time.Time, r *rollout.Rollout) error {
+		return r.Reject(now, a.Operator, a.Operation)
 	})
 }
 
 // Rollback begins to take a running rollout back. The error is as that of
 // Confirm.
-func (o *Operations) Rollback(ctx context.Context, w Word) (rollout.Rollout, error) {
-	return o.change(ctx, w, func(_ context.Context, now time.Time, r *rollout.Rollout) error {
-		return r.Condemn(now, "asked for by "+w.Operator, w.Operation)
+func (o *Operations) Rollback(ctx context.Context, a Action) (rollout.Rollout, error) {
+	return o.change(ctx, a, func(_ context.Context, now time.Time, r *rollout.Rollout) error {
+		return r.Condemn(now, "asked for by "+a.Operator, a.Operation)
 	})
 }
 
@@ -183,17 +183,17 @@
 
 // change makes one transition of a rollout, and makes it anew when another
 // write came first.
-func (o *Operations) change(ctx context.Context, w Word, move transition) (rollout.Rollout, error) {
-	service := serviceOf(w.ID)
+func (o *Operations) change(ctx context.Context, a Action, move transition) (rollout.Rollout, error) {
+	service := serviceOf(a.ID)
 	for range _maxTries {
 		last, err := o.store.load(ctx, service)
 		if err != nil {
 			return rollout.Rollout{}, err
 		}
-		if last.version == 0 || last.rollout.ID != w.ID {
-			return rollout.Rollout{}, errors.Wrapf(rollout.ErrState, "rollout %q is not the last one of %q; see 'lentilferry status'", w.ID, service)
+		if last.version == 0 || last.rollout.ID != a.ID {
+			return rollout.Rollout{}, errors.Wrapf(rollout.ErrState, "rollout %q is not the last one of %q; see 'lentilferry status'", a.ID, service)
 		}
-		if last.rollout.LastOperation == w.Operation || last.rollout.ConfirmOperation == w.Operation {
+		if last.rollout.LastOperation == a.Operation || last.rollout.ConfirmOperation == a.Operation {
 			return last.rollout, nil
 		}
 		r := last.rollout
@@ -206,7 +206,7 @@
 		}
 		return saved.rollout, err
 	}
-	return rollout.Rollout{}, errors.Wrapf(platform.ErrConflict, "rollout %s", w.ID)
+	return rollout.Rollout{}, errors.Wrapf(platform.ErrConflict, "rollout %s", a.ID)
 }
 
 // Rollouts returns the last rollout of each service.
--- a/membership/in_force.go
+++ b/membership/in_force.go
@@ -20,7 +20,7 @@
 // concurrent use.
 type Applied struct {
 	mu sync.Mutex
-	// runs holds the newest word of each member.
+	// runs holds the newest report of each member.
 	runs map[NodeID]running
 }
 
@@ -34,7 +34,7 @@
 	return &Applied{runs: make(map[NodeID]running)}
 }
 
-// Tell takes in what a member runs. Word of an older incarnation, or of an
+// Tell takes in what a member runs. A report of an older incarnation, or of an
 // older revision, is late and counts for nothing.
 func (a *Applied) Tell(id NodeID, incarnation, revision uint64) {
 	a.mu.Lock()
--- a/membership/member.go
+++ b/membership/member.go
@@ -118,7 +118,7 @@
 	}
 }
 
-// Supersedes reports whether m is newer word of the member than old.
+// Supersedes reports whether m is a newer record of the member than old.
 func (m Member) Supersedes(old Member) bool {
 	order := cmp.Or(
 		cmp.Compare(m.Incarnation, old.Incarnation),
@@ -128,7 +128,7 @@
 	return order > 0
 }
 
-// Hash returns a hash of what decides between two words of the member.
+// Hash returns a hash of what decides between two records of the member.
 func (m Member) Hash() uint64 {
 	buffer := make([]byte, 0, 64)
 	buffer = append(buffer, m.ID...)
--- a/membership/table.go
+++ b/membership/table.go
@@ -74,7 +74,7 @@
 	members map[NodeID]*record
 	// hash is the exclusive or of all records' hashes.
 	hash uint64
-	// heard is when the newest word left the zone.
+	// heard is when the newest state left the zone.
 	heard time.Time
 	// synced is when the zone was last reconciled whole.
 	synced time.Time
@@ -150,7 +150,7 @@
 	}
 }
 
-// Merge takes in word of a member and reports whether it was news. Word of
+// Merge takes in a record of a member and reports whether it was news. One of
 // this node that is not its own is refuted.
 func (t *Table) Merge(now time.Time, m Member) bool {
 	if t.refute(now, m) {
@@ -182,7 +182,7 @@
 	return t.changed
 }
 
-// refute answers word of this node that is newer than its own record.
+// refute answers a record of this node that is newer than its own record.
 func (t *Table) refute(now time.Time, m Member) bool {
 	t.selfMu.Lock()
 	if m.ID == t.self.ID {
--- a/membership/table_sync.go
+++ b/membership/table_sync.go
@@ -6,7 +6,7 @@
 type ZoneDigest struct {
 	Zone Zone
 	Hash uint64
-	// Age is the time since the word left the zone.
+	// Age is the time since the state left the zone.
 	Age time.Duration
 }
 
@@ -57,7 +57,7 @@
 	return true
 }
 
-// Heard takes in how old another node's word of each zone is.
+// Heard takes in how old another node's state of each zone is.
 func (t *Table) Heard(now time.Time, digests []ZoneDigest) {
 	for _, d := range digests {
 		s := t.shard(d.Zone)
--- a/node/servers.go
+++ b/node/servers.go
@@ -107,8 +107,8 @@
 }
 
 const (
-	// _farewells is how many peers are told at once that this node leaves.
-	_farewells = 6
+	// _leavingTold is how many peers are told at once that this node leaves.
+	_leavingTold = 6
 	// _closeTimeout bounds the closing of the servers after the drain.
 	_closeTimeout = 5 * time.Second
 	// _leaveNotice is how long the ingress goes on while callers and peers
@@ -145,7 +145,7 @@
 	n.lifecycle.Drain()
 	n.announce(membership.Draining)
 	n.gate.Drain()
-	n.farewell(ctx)
+	n.tellLeaving(ctx)
 	finished := make(chan struct{})
 	go func() {
 		defer close(finished)
@@ -161,7 +161,7 @@
 	n.controller.Stop(ctx)
 	n.lifecycle.Leave()
 	n.announce(membership.Left)
-	n.farewell(ctx)
+	n.tellLeaving(ctx)
 	n.d.Logger.Info("Left", "node", n.d.ID)
 }
 
@@ -169,10 +169,10 @@
 	n.table.Announce(n.d.Now(), func(m *membership.Member) { m.State = state })
 }
 
-// farewell tells some peers at once. The last node of a zone tells the other
+// tellLeaving tells some peers at once. The last node of a zone tells the other
 // zones itself.
-func (n *Node) farewell(ctx context.Context) {
-	peers := n.table.Helpers(n.d.ID, _farewells)
+func (n *Node) tellLeaving(ctx context.Context) {
+	peers := n.table.Helpers(n.d.ID, _leavingTold)
 	if len(peers) == 0 {
 		for _, zone := range n.table.OtherZones() {
 			if m, ok := n.table.Contact(zone); ok {
--- a/operator/server.go
+++ b/operator/server.go
@@ -129,8 +129,8 @@
 	return connect.NewResponse(&lentilferryv1.RollbackResponse{Rollout: changed}), nil
 }
 
-// wordMessage is a request that carries an operator's word on a rollout.
-type wordMessage interface {
+// actionMessage is a request that asks something of a rollout.
+type actionMessage interface {
 	GetId() string
 	GetOperator() string
 	GetOperation() string
@@ -138,13 +138,13 @@
 
 func (s *Server) say(
 	ctx context.Context,
-	m wordMessage,
-	operation func(context.Context, control.Word) (rollout.Rollout, error),
+	m actionMessage,
+	operation func(context.Context, control.Action) (rollout.Rollout, error),
 ) (*lentilferryv1.Rollout, error) {
 	if err := named(m.GetOperator(), m.GetOperation()); err != nil {
 		return nil, err
 	}
-	changed, err := operation(ctx, control.Word{ID: m.GetId(), Operator: m.GetOperator(), Operation: m.GetOperation()})
+	changed, err := operation(ctx, control.Action{ID: m.GetId(), Operator: m.GetOperator(), Operation: m.GetOperation()})
 	if err != nil {
 		return nil, fail(err)
 	}
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -106,7 +106,7 @@
 	if from := membership.NodeID(response.Msg.GetFrom()); id != "" && from != id {
 		return errors.Newf("exchange with %s: %q answered in place of %q", peer, from, id)
 	}
-	g.absorb(word{
+	g.absorb(peerState{
 		updates:     response.Msg.GetUpdates(),
 		digests:     response.Msg.GetDigests(),
 		quarantines: response.Msg.GetQuarantines(),
@@ -129,14 +129,14 @@
 	}
 }
 
-// word is what a peer says in an exchange.
-type word struct {
+// peerState is what a peer says in an exchange.
+type peerState struct {
 	updates     []*lentilferryv1.Member
 	digests     []*lentilferryv1.ZoneDigest
 	quarantines []*lentilferryv1.Quarantine
 }
 
-func (g *Gossip) absorb(w word) {
+func (g *Gossip) absorb(w peerState) {
 	now := g.d.Now()
 	for _, m := range wire.DecodeMembers(w.updates) {
 		g.d.Table.Merge(now, m)
@@ -161,7 +161,7 @@
 
 // Answer answers an exchange that a peer began.
 func (g *Gossip) Answer(request *lentilferryv1.ExchangeRequest) *lentilferryv1.ExchangeResponse {
-	g.absorb(word{
+	g.absorb(peerState{
 		updates:     request.GetUpdates(),
 		digests:     request.GetDigests(),
 		quarantines: request.GetQuarantines(),
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -1,5 +1,5 @@
 // Package rollout moves a service's traffic from one upstream version to
-// another: it plans, takes the operator's word, raises the candidate's share
+// another: it plans, asks the operator, raises the candidate's share
 // stage by stage, and takes a bad version back. It does no I/O.
 package rollout
 
@@ -197,7 +197,7 @@
 	}
 }
 
-// Confirm starts the rollout on the operator's word. Current is the service
+// Confirm starts the rollout on the operator's confirmation. Current is the service
 // as it stands in the configuration in force. The error is ErrState or
 // ErrOutdated.
 func (r *Rollout) Confirm(now time.Time, operator, operation string, current config.Service) error {
@@ -232,7 +232,7 @@
 	return length
 }
 
-// Reject ends a plan on the operator's word. The error is ErrState.
+// Reject ends a plan that the operator does not want. The error is ErrState.
 func (r *Rollout) Reject(now time.Time, operator, operation string) error {
 	if err := r.fire(now, _eventReject, "rejected by "+operator); err != nil {
 		return err
