control: Go on after a lost lease object and a lost head

Cause: reading the whole change again. (1) A lease that was lost after takeovers begins at epoch 1, below that of the rollouts, so that no controller could go on. (2) The fault matrix's paused controller only swapped two controllers. (3) A platform that lost its head was given revision 1, which no node takes, while the operator was told accepted. (4) A revision that came while routes were being refreshed was noticed a second later. (5) Ctrl-C on watch printed usage. Change: the holder renews its lease above the epochs it meets; the matrix pauses a controller and lets it wake; a commit over a missing head goes on from the held revision and writes all resources; the next change is awaited before the refresh; watch says that the system goes on.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -79,6 +79,10 @@
 	if errors.Is(err, ff.ErrNoExec) {
 		err = notACommand(selected(root))
 	}
+	if errors.Is(err, context.Canceled) && ctx.Err() != nil {
+		_, _ = fmt.Fprintln(env.Stderr, "lentilferry: stopped here; what the system does goes on")
+		return ExitFailed
+	}
 	code := exitCode(err)
 	if code != ExitRolledBack {
 		_, _ = fmt.Fprintln(env.Stderr, "lentilferry:", message(err))
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -50,6 +50,7 @@
 	// silent makes the zone's collector not answer.
 	silent bool
 	calls  uint64
+	paused *Controller
 }
 
 // meddled is the platform as its users see it: others act between any two of
@@ -239,7 +240,7 @@
 	{"answers lost", func(w *world) { w.platform.SetFaults(fakeplatform.Faults{LoseAnswers: true}) }, func(w *world) { w.platform.SetFaults(fakeplatform.Faults{}) }, false},
 	{"platform slow", func(w *world) { w.platform.SetFaults(fakeplatform.Faults{Delay: 2 * time.Second}) }, func(w *world) { w.platform.SetFaults(fakeplatform.Faults{}) }, false},
 	{"controller dead", func(w *world) { w.controllers = w.controllers[1:] }, func(*world) {}, false},
-	{"controller paused", func(w *world) { w.controllers[0], w.controllers[1] = w.controllers[1], w.controllers[0] }, func(*world) {}, false},
+	{"controller paused", func(w *world) { w.paused, w.controllers = w.controllers[0], w.controllers[1:] }, func(w *world) { w.controllers = append(w.controllers, w.paused) }, false},
 	{"lease object lost", func(w *world) {
 		if o, err := w.platform.Get(context.Background(), LeaseKey); err == nil {
 			w.platform.Delete(context.Background(), LeaseKey, o.Version)
@@ -450,6 +451,26 @@
 	}
 }
 
+// A lease object that is lost after a takeover begins again at epoch 1, below
+// that of the rollouts; the holder raises it and goes on.
+func TestLeaseObjectLostAfterTakeovers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		w.start(t)
+		for range 2 {
+			w.steps(3)
+			w.controllers = w.controllers[1:]
+			w.steps(20)
+		}
+		r, _ := w.stored()
+		assert.Assert(t, r.Epoch >= 3, "epoch %d", r.Epoch)
+		object, err := w.platform.Get(context.Background(), LeaseKey)
+		assert.NilError(t, err)
+		w.platform.Delete(context.Background(), LeaseKey, object.Version)
+		w.until(t, rollout.Complete)
+	})
+}
+
 // Racing operators: one wins, and the other is told plainly.
 func TestRacingOperators(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/control/controller.go
+++ b/control/controller.go
@@ -148,6 +148,10 @@
 // advance lets one rollout take its next transition.
 func (c *Controller) advance(ctx context.Context, epoch uint64, one stored) error {
 	r := one.rollout
+	if r.Epoch > epoch {
+		c.leadership.lease.Outrank(r.Epoch)
+		return errors.Wrapf(rollout.ErrEpoch, "epoch %d follows %d; renewing the lease above it", epoch, r.Epoch)
+	}
 	before := r.WaitingFor
 	s := c.supervise(&r)
 	inputs := c.inputs(ctx, epoch, &r, s)
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -75,6 +75,8 @@
 	// renewed is when the last successful write of this holder was sent;
 	// zero while the lease is not held.
 	renewed time.Time
+	// outranked is the highest epoch known to have been used; see Outrank.
+	outranked uint64
 }
 
 // New returns a candidate that has observed nothing.
@@ -102,11 +104,14 @@
 }
 
 func (l *Lease) renew(now time.Time) Action {
-	if now.Sub(l.renewed) < l.timing.RenewEvery {
+	if now.Sub(l.renewed) < l.timing.RenewEvery && (l.outranked == 0 || l.record.Epoch > l.outranked) {
 		return Action{Kind: Wait}
 	}
 	record := l.record
 	record.Beat++
+	if l.outranked > 0 {
+		record.Epoch = max(record.Epoch, l.outranked+1)
+	}
 	return Action{Kind: Update, Record: record, Version: l.version}
 }
 
@@ -153,6 +158,13 @@
 	l.known = false
 }
 
+// Outrank takes in an epoch that was used before, which is higher than the
+// holder's own when the record was lost and created anew. The next renewal goes
+// above it. That is safe: the renewal fails if another holds the lease.
+func (l *Lease) Outrank(epoch uint64) {
+	l.outranked = max(l.outranked, epoch)
+}
+
 // Held returns the epoch while this candidate holds the lease and may act.
 func (l *Lease) Held(now time.Time) (uint64, bool) {
 	if l.renewed.IsZero() || now.Sub(l.renewed) >= l.timing.Lifetime-l.timing.Margin {
--- a/node/steps.go
+++ b/node/steps.go
@@ -70,19 +70,19 @@
 
 // keepFresh refreshes after each change of the revision or of a member.
 func (n *Node) keepFresh(ctx context.Context) {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
+	for ctx.Err() == nil {
+		// A change that comes while refreshing must not be missed.
+		changed := n.holder.Changed()
+		n.refresh()
+		wait(ctx, _refreshLeast)
+		timer := time.NewTimer(_refreshMost)
 		select {
 		case <-ctx.Done():
-			return
-		case <-n.holder.Changed():
+		case <-changed:
 		case <-n.table.Changed():
 		case <-timer.C:
 		}
-		n.refresh()
-		wait(ctx, _refreshLeast)
-		timer.Reset(_refreshMost)
+		timer.Stop()
 	}
 }
 
--- a/revision/committer.go
+++ b/revision/committer.go
@@ -195,7 +195,7 @@
 func (c *Committer) tryOver(ctx context.Context, now time.Time, request CommitRequest, base *Snapshot, version uint64) (CommitOutcome, bool) {
 	var current config.Config
 	if base != nil {
-		if number, ok := base.Manifest.Applied(request.Operation); ok {
+		if number, ok := base.Manifest.Applied(request.Operation); ok && version != 0 {
 			return CommitOutcome{Result: Committed, Number: number}, false
 		}
 		current = base.Config
@@ -208,7 +208,7 @@
 	if err != nil {
 		return CommitOutcome{Result: Refused, Err: err}, false
 	}
-	if base != nil && !request.Always && SameEntries(base.Manifest, next.Manifest) {
+	if version != 0 && !request.Always && SameEntries(base.Manifest, next.Manifest) {
 		return CommitOutcome{Result: Unchanged, Number: base.Manifest.Number}, false
 	}
 	return c.write(ctx, base, version, next)
@@ -217,7 +217,9 @@
 func (c *Committer) readHead(ctx context.Context) (*Snapshot, uint64, error) {
 	head, err := c.store.Get(ctx, HeadKey)
 	if errors.Is(err, platform.ErrNotFound) {
-		return nil, 0, nil
+		// A head that was there before is lost: what is held goes on from its
+		// number, or no node would take the new revision.
+		return c.holder.Current(), 0, nil
 	}
 	if err != nil {
 		return nil, 0, err
@@ -243,6 +245,9 @@
 		err = errors.Newf("the manifest has %d bytes, more than %d; remove resources", len(value), platform.MaxValueBytes)
 		return CommitOutcome{Result: Refused, Err: err}, false
 	}
+	if version == 0 {
+		base = nil
+	}
 	if err := c.writeResources(ctx, base, next); err != nil {
 		return CommitOutcome{Result: Refused, Err: err}, errors.Is(err, platform.ErrUnavailable)
 	}
--- a/revision/revision_test.go
+++ b/revision/revision_test.go
@@ -152,6 +152,24 @@
 	return platform.WriteOutcome{Result: platform.Unknown, Err: platform.ErrUnavailable}
 }
 
+// A platform that has lost its objects is filled again from what the node
+// holds, above the number that nodes have.
+func TestLostHead(t *testing.T) {
+	h := revision.NewHolder()
+	before := fakeplatform.New()
+	for i := range 3 {
+		assert.Equal(t, commit(before, h, fmt.Sprint("op-", i), numbered(i)).Result, revision.Committed)
+	}
+	empty := fakeplatform.New()
+	got := commit(empty, h, "op-2", numbered(2))
+	assert.Equal(t, got.Result, revision.Committed, "%v", got.Err)
+	assert.Equal(t, got.Number, uint64(4))
+	object, err := empty.Get(context.Background(), revision.HeadKey)
+	assert.NilError(t, err)
+	_, err = revision.Load(context.Background(), empty, wire.Codec{}, object, nil)
+	assert.NilError(t, err)
+}
+
 // A committer that sleeps between its read and its write does not overwrite
 // what came meanwhile.
 func TestPausedCommitterDoesNotOverwrite(t *testing.T) {
