objectstore: Move the object API's types and client out of platform/

The types of the object API stood at the bottom of the import graph in platform/, which is to hold the adapter to the users' platform above it. They are a domain package now; nothing else changed.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -17,7 +17,7 @@
 	"lentilferry.example/lentilferry/internal/fakes/fakeplatform"
 	"lentilferry.example/lentilferry/lease"
 	"lentilferry.example/lentilferry/membership"
-	"lentilferry.example/lentilferry/platform"
+	"lentilferry.example/lentilferry/objectstore"
 	"lentilferry.example/lentilferry/quarantine"
 	"lentilferry.example/lentilferry/revision"
 	"lentilferry.example/lentilferry/rollout"
@@ -57,22 +57,22 @@
 // their calls.
 type meddled struct{ w *world }
 
-func (m meddled) Get(ctx context.Context, key platform.Key) (platform.Object, error) {
+func (m meddled) Get(ctx context.Context, key objectstore.Key) (objectstore.Object, error) {
 	m.w.meddle()
 	return m.w.platform.Get(ctx, key)
 }
 
-func (m meddled) List(ctx context.Context, kind platform.Kind) ([]platform.Object, uint64, error) {
+func (m meddled) List(ctx context.Context, kind objectstore.Kind) ([]objectstore.Object, uint64, error) {
 	m.w.meddle()
 	return m.w.platform.List(ctx, kind)
 }
 
-func (m meddled) Create(ctx context.Context, key platform.Key, value []byte) platform.WriteOutcome {
+func (m meddled) Create(ctx context.Context, key objectstore.Key, value []byte) objectstore.WriteOutcome {
 	m.w.meddle()
 	return m.w.platform.Create(ctx, key, value)
 }
 
-func (m meddled) Update(ctx context.Context, key platform.Key, version uint64, value []byte) platform.WriteOutcome {
+func (m meddled) Update(ctx context.Context, key objectstore.Key, version uint64, value []byte) objectstore.WriteOutcome {
 	m.w.meddle()
 	return m.w.platform.Update(ctx, key, version, value)
 }
--- a/control/controller.go
+++ b/control/controller.go
@@ -14,7 +14,7 @@
 	"lentilferry.example/lentilferry/evidence"
 	"lentilferry.example/lentilferry/lease"
 	"lentilferry.example/lentilferry/membership"
-	"lentilferry.example/lentilferry/platform"
+	"lentilferry.example/lentilferry/objectstore"
 	"lentilferry.example/lentilferry/quarantine"
 	"lentilferry.example/lentilferry/revision"
 	"lentilferry.example/lentilferry/rollout"
@@ -284,7 +284,7 @@
 		return config.Config{}, err
 	}
 	if last.version != version {
-		return config.Config{}, errors.Wrapf(platform.ErrConflict, "rollout %s was changed by another", r.ID)
+		return config.Config{}, errors.Wrapf(objectstore.ErrConflict, "rollout %s was changed by another", r.ID)
 	}
 	service, ok := current.Service(r.Service)
 	if !ok {
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -7,12 +7,12 @@
 	"github.com/cockroachdb/errors"
 
 	"lentilferry.example/lentilferry/lease"
-	"lentilferry.example/lentilferry/platform"
+	"lentilferry.example/lentilferry/objectstore"
 	"lentilferry.example/lentilferry/wire"
 )
 
 // LeaseKey names the controller's lease.
-var LeaseKey = platform.Key{Kind: platform.KindLease, Name: "controller"}
+var LeaseKey = objectstore.Key{Kind: objectstore.KindLease, Name: "controller"}
 
 // leadership keeps a lease on the platform.
 type leadership struct {
@@ -36,7 +36,7 @@
 
 func (l *leadership) read(ctx context.Context) error {
 	object, err := l.platform.Get(ctx, LeaseKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		l.lease.ObserveAbsent(l.now())
 		return nil
 	}
@@ -56,18 +56,18 @@
 	if err != nil {
 		return err
 	}
-	var outcome platform.WriteOutcome
+	var outcome objectstore.WriteOutcome
 	if action.Kind == lease.Create {
 		outcome = l.platform.Create(ctx, LeaseKey, value)
 	} else {
 		outcome = l.platform.Update(ctx, LeaseKey, action.Version, value)
 	}
-	if outcome.Result == platform.Written {
+	if outcome.Result == objectstore.Written {
 		l.lease.Written(sent, action.Record, outcome.Version)
 		return nil
 	}
 	l.lease.Failed()
-	if outcome.Result == platform.Unknown {
+	if outcome.Result == objectstore.Unknown {
 		return errors.Wrap(outcome.Err, "write the controller's lease")
 	}
 	return nil
--- a/control/operations.go
+++ b/control/operations.go
@@ -10,7 +10,7 @@
 
 	"lentilferry.example/lentilferry/config"
 	"lentilferry.example/lentilferry/membership"
-	"lentilferry.example/lentilferry/platform"
+	"lentilferry.example/lentilferry/objectstore"
 	"lentilferry.example/lentilferry/revision"
 	"lentilferry.example/lentilferry/rollout"
 )
@@ -67,11 +67,11 @@
 func (o *Operations) Plan(ctx context.Context, intent rollout.Intent) (rollout.Rollout, error) {
 	for range _maxTries {
 		r, err := o.plan(ctx, intent)
-		if !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, objectstore.ErrConflict) {
 			return r, err
 		}
 	}
-	return rollout.Rollout{}, errors.Wrapf(platform.ErrConflict, "plan for %s", intent.Service)
+	return rollout.Rollout{}, errors.Wrapf(objectstore.ErrConflict, "plan for %s", intent.Service)
 }
 
 func (o *Operations) plan(ctx context.Context, intent rollout.Intent) (rollout.Rollout, error) {
@@ -201,12 +201,12 @@
 			return last.rollout, err
 		}
 		saved, err := o.store.save(ctx, r, last.version)
-		if errors.Is(err, platform.ErrConflict) {
+		if errors.Is(err, objectstore.ErrConflict) {
 			continue
 		}
 		return saved.rollout, err
 	}
-	return rollout.Rollout{}, errors.Wrapf(platform.ErrConflict, "rollout %s", a.ID)
+	return rollout.Rollout{}, errors.Wrapf(objectstore.ErrConflict, "rollout %s", a.ID)
 }
 
 // Rollouts returns the last rollout of each service.
@@ -253,7 +253,7 @@
 	var current config.Config
 	var number uint64
 	snapshot, err := o.head(ctx)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, objectstore.ErrNotFound) {
 		return Applied{}, err
 	}
 	if err == nil {
--- a/control/store.go
+++ b/control/store.go
@@ -10,17 +10,17 @@
 	"github.com/cockroachdb/errors"
 
 	"lentilferry.example/lentilferry/config"
-	"lentilferry.example/lentilferry/platform"
+	"lentilferry.example/lentilferry/objectstore"
 	"lentilferry.example/lentilferry/rollout"
 	"lentilferry.example/lentilferry/wire"
 )
 
 // Platform is what rollouts and leases need of the platform.
 type Platform interface {
-	Get(ctx context.Context, key platform.Key) (platform.Object, error)
-	List(ctx context.Context, kind platform.Kind) ([]platform.Object, uint64, error)
-	Create(ctx context.Context, key platform.Key, value []byte) platform.WriteOutcome
-	Update(ctx context.Context, key platform.Key, version uint64, value []byte) platform.WriteOutcome
+	Get(ctx context.Context, key objectstore.Key) (objectstore.Object, error)
+	List(ctx context.Context, kind objectstore.Kind) ([]objectstore.Object, uint64, error)
+	Create(ctx context.Context, key objectstore.Key, value []byte) objectstore.WriteOutcome
+	Update(ctx context.Context, key objectstore.Key, version uint64, value []byte) objectstore.WriteOutcome
 }
 
 // ErrUnresolved means that a write may have taken effect and the platform
@@ -39,8 +39,8 @@
 	platform Platform
 }
 
-func rolloutKey(service config.ServiceName) platform.Key {
-	return platform.Key{Kind: platform.KindRollout, Name: string(service)}
+func rolloutKey(service config.ServiceName) objectstore.Key {
+	return objectstore.Key{Kind: objectstore.KindRollout, Name: string(service)}
 }
 
 // serviceOf returns the service that a rollout's ID begins with.
@@ -55,7 +55,7 @@
 // of version 0.
 func (s store) load(ctx context.Context, service config.ServiceName) (stored, error) {
 	object, err := s.platform.Get(ctx, rolloutKey(service))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return stored{}, nil
 	}
 	if err != nil {
@@ -64,7 +64,7 @@
 	return decode(object)
 }
 
-func decode(object platform.Object) (stored, error) {
+func decode(object objectstore.Object) (stored, error) {
 	r, err := wire.UnmarshalRollout(object.Value)
 	if err != nil {
 		return stored{}, err
@@ -75,7 +75,7 @@
 // list reads the last rollout of each service. One that can't be read is left
 // out and named in the error; the others are returned all the same.
 func (s store) list(ctx context.Context) ([]stored, error) {
-	objects, _, err := s.platform.List(ctx, platform.KindRollout)
+	objects, _, err := s.platform.List(ctx, objectstore.KindRollout)
 	if err != nil {
 		return nil, errors.Wrap(err, "list rollouts")
 	}
@@ -93,7 +93,7 @@
 }
 
 // save stores a rollout over the version that it was read at. A lost answer
-// is resolved by reading back. The error is platform.ErrConflict when another
+// is resolved by reading back. The error is objectstore.ErrConflict when another
 // write came first, and ErrUnresolved when the platform could not be asked.
 func (s store) save(ctx context.Context, r rollout.Rollout, version uint64) (stored, error) {
 	value, err := wire.MarshalRollout(r)
@@ -102,16 +102,16 @@
 	}
 	outcome := s.write(ctx, r.Service, version, value)
 	switch outcome.Result {
-	case platform.Written:
+	case objectstore.Written:
 		return stored{rollout: r, version: outcome.Version}, nil
-	case platform.NotWritten:
+	case objectstore.NotWritten:
 		return stored{}, errors.Wrapf(outcome.Err, "store rollout %s", r.ID)
 	default:
 		return s.resolve(ctx, r, version, value)
 	}
 }
 
-func (s store) write(ctx context.Context, service config.ServiceName, version uint64, value []byte) platform.WriteOutcome {
+func (s store) write(ctx context.Context, service config.ServiceName, version uint64, value []byte) objectstore.WriteOutcome {
 	if version == 0 {
 		return s.platform.Create(ctx, rolloutKey(service), value)
 	}
@@ -128,14 +128,14 @@
 	for range _resolveTries {
 		object, err := s.platform.Get(ctx, rolloutKey(r.Service))
 		switch {
-		case errors.Is(err, platform.ErrNotFound) && version == 0, err == nil && object.Version == version:
-			if outcome := s.write(ctx, r.Service, version, value); outcome.Result == platform.Written {
+		case errors.Is(err, objectstore.ErrNotFound) && version == 0, err == nil && object.Version == version:
+			if outcome := s.write(ctx, r.Service, version, value); outcome.Result == objectstore.Written {
 				return stored{rollout: r, version: outcome.Version}, nil
 			}
 		case err == nil && bytes.Equal(object.Value, value):
 			return stored{rollout: r, version: object.Version}, nil
 		case err == nil:
-			return stored{}, errors.Wrapf(platform.ErrConflict, "store rollout %s", r.ID)
+			return stored{}, errors.Wrapf(objectstore.ErrConflict, "store rollout %s", r.ID)
 		}
 	}
 	return stored{}, errors.Wrapf(ErrUnresolved, "store rollout %s", r.ID)
--- a/internal/fakes/fakeplatform/platform.go
+++ b/internal/fakes/fakeplatform/platform.go
@@ -11,7 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"lentilferry.example/lentilferry/platform"
+	"lentilferry.example/lentilferry/objectstore"
 )
 
 // _historyLength is how many changes a watch can look back on.
@@ -41,11 +41,11 @@
 // Platform is an in-memory object store.
 type Platform struct {
 	mu      sync.Mutex
-	objects map[platform.Key]platform.Object
+	objects map[objectstore.Key]objectstore.Object
 	// version is that of the newest write and only grows.
 	version uint64
 	// history holds the newest changes, oldest first.
-	history   []platform.Event
+	history   []objectstore.Event
 	compacted uint64
 	changed   chan struct{}
 	faults    Faults
@@ -55,7 +55,7 @@
 // New returns an empty store.
 func New() *Platform {
 	return &Platform{
-		objects: make(map[platform.Key]platform.Object),
+		objects: make(map[objectstore.Key]objectstore.Object),
 		changed: make(chan struct{}),
 	}
 }
@@ -106,105 +106,105 @@
 		select {
 		case <-time.After(faults.Delay):
 		case <-ctx.Done():
-			return faults, errors.Mark(ctx.Err(), platform.ErrUnavailable)
+			return faults, errors.Mark(ctx.Err(), objectstore.ErrUnavailable)
 		}
 	}
 	if faults.Down {
-		return faults, errors.Wrap(platform.ErrUnavailable, "the stand-in is down")
+		return faults, errors.Wrap(objectstore.ErrUnavailable, "the stand-in is down")
 	}
 	return faults, nil
 }
 
 // Get reads one object.
-func (p *Platform) Get(ctx context.Context, key platform.Key) (platform.Object, error) {
+func (p *Platform) Get(ctx context.Context, key objectstore.Key) (objectstore.Object, error) {
 	if _, err := p.begin(ctx, func(c *Calls) { c.Reads++ }); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	object, ok := p.objects[key]
 	if !ok {
-		return platform.Object{}, errors.Wrapf(platform.ErrNotFound, "read %s", key)
+		return objectstore.Object{}, errors.Wrapf(objectstore.ErrNotFound, "read %s", key)
 	}
 	return object, nil
 }
 
 // List reads all objects of a kind.
-func (p *Platform) List(ctx context.Context, kind platform.Kind) ([]platform.Object, uint64, error) {
+func (p *Platform) List(ctx context.Context, kind objectstore.Kind) ([]objectstore.Object, uint64, error) {
 	if _, err := p.begin(ctx, func(c *Calls) { c.Reads++ }); err != nil {
 		return nil, 0, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var objects []platform.Object
+	var objects []objectstore.Object
 	for key, object := range p.objects {
 		if key.Kind == kind {
 			objects = append(objects, object)
 		}
 	}
-	slices.SortFunc(objects, func(a, b platform.Object) int { return strings.Compare(a.Key.Name, b.Key.Name) })
+	slices.SortFunc(objects, func(a, b objectstore.Object) int { return strings.Compare(a.Key.Name, b.Key.Name) })
 	return objects, p.version, nil
 }
 
 // Create writes an object that must not exist.
-func (p *Platform) Create(ctx context.Context, key platform.Key, value []byte) platform.WriteOutcome {
-	return p.write(ctx, key, func(_ platform.Object, found bool) bool { return !found }, value, false)
+func (p *Platform) Create(ctx context.Context, key objectstore.Key, value []byte) objectstore.WriteOutcome {
+	return p.write(ctx, key, func(_ objectstore.Object, found bool) bool { return !found }, value, false)
 }
 
 // Update writes an object that must have the given version.
-func (p *Platform) Update(ctx context.Context, key platform.Key, version uint64, value []byte) platform.WriteOutcome {
+func (p *Platform) Update(ctx context.Context, key objectstore.Key, version uint64, value []byte) objectstore.WriteOutcome {
 	return p.write(ctx, key, hasVersion(version), value, false)
 }
 
 // Delete removes an object that must have the given version.
-func (p *Platform) Delete(ctx context.Context, key platform.Key, version uint64) platform.WriteOutcome {
+func (p *Platform) Delete(ctx context.Context, key objectstore.Key, version uint64) objectstore.WriteOutcome {
 	return p.write(ctx, key, hasVersion(version), nil, true)
 }
 
-func hasVersion(version uint64) func(platform.Object, bool) bool {
-	return func(o platform.Object, found bool) bool { return found && o.Version == version }
+func hasVersion(version uint64) func(objectstore.Object, bool) bool {
+	return func(o objectstore.Object, found bool) bool { return found && o.Version == version }
 }
 
 func (p *Platform) write(
 	ctx context.Context,
-	key platform.Key,
-	holds func(platform.Object, bool) bool,
+	key objectstore.Key,
+	holds func(objectstore.Object, bool) bool,
 	value []byte,
 	remove bool,
-) platform.WriteOutcome {
+) objectstore.WriteOutcome {
 	faults, err := p.begin(ctx, func(c *Calls) { c.Writes++ })
 	if err != nil {
-		return platform.WriteOutcome{Result: platform.Unknown, Err: err}
+		return objectstore.WriteOutcome{Result: objectstore.Unknown, Err: err}
 	}
-	if len(value) > platform.MaxValueBytes {
-		return platform.WriteOutcome{Result: platform.NotWritten, Err: platform.ErrTooLarge}
+	if len(value) > objectstore.MaxValueBytes {
+		return objectstore.WriteOutcome{Result: objectstore.NotWritten, Err: objectstore.ErrTooLarge}
 	}
 	outcome := p.apply(key, holds, value, remove)
 	if faults.LoseAnswers {
-		return platform.WriteOutcome{Result: platform.Unknown, Err: errors.Wrap(platform.ErrUnavailable, "the answer was lost")}
+		return objectstore.WriteOutcome{Result: objectstore.Unknown, Err: errors.Wrap(objectstore.ErrUnavailable, "the answer was lost")}
 	}
 	return outcome
 }
 
-func (p *Platform) apply(key platform.Key, holds func(platform.Object, bool) bool, value []byte, remove bool) platform.WriteOutcome {
+func (p *Platform) apply(key objectstore.Key, holds func(objectstore.Object, bool) bool, value []byte, remove bool) objectstore.WriteOutcome {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	object, found := p.objects[key]
 	if !holds(object, found) {
-		return platform.WriteOutcome{Result: platform.NotWritten, Err: errors.Wrapf(platform.ErrConflict, "write %s", key)}
+		return objectstore.WriteOutcome{Result: objectstore.NotWritten, Err: errors.Wrapf(objectstore.ErrConflict, "write %s", key)}
 	}
 	p.version++
-	object = platform.Object{Key: key, Version: p.version, Value: slices.Clone(value)}
+	object = objectstore.Object{Key: key, Version: p.version, Value: slices.Clone(value)}
 	if remove {
 		delete(p.objects, key)
 	} else {
 		p.objects[key] = object
 	}
-	p.record(platform.Event{Object: object, Deleted: remove})
-	return platform.WriteOutcome{Result: platform.Written, Version: p.version}
+	p.record(objectstore.Event{Object: object, Deleted: remove})
+	return objectstore.WriteOutcome{Result: objectstore.Written, Version: p.version}
 }
 
-func (p *Platform) record(e platform.Event) {
+func (p *Platform) record(e objectstore.Event) {
 	if p.faults.DropEvents {
 		return
 	}
@@ -218,9 +218,9 @@
 
 // Watch waits until an object of the kind changes after the given version,
 // or the context ends, which gives no events.
-func (p *Platform) Watch(ctx context.Context, kind platform.Kind, after uint64) (platform.Events, error) {
+func (p *Platform) Watch(ctx context.Context, kind objectstore.Kind, after uint64) (objectstore.Events, error) {
 	if _, err := p.begin(ctx, func(c *Calls) { c.Watches++ }); err != nil {
-		return platform.Events{}, err
+		return objectstore.Events{}, err
 	}
 	for {
 		events, changed, err := p.eventsAfter(kind, after)
@@ -235,16 +235,16 @@
 	}
 }
 
-func (p *Platform) eventsAfter(kind platform.Kind, after uint64) (platform.Events, <-chan struct{}, error) {
+func (p *Platform) eventsAfter(kind objectstore.Kind, after uint64) (objectstore.Events, <-chan struct{}, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.faults.Down {
-		return platform.Events{}, nil, errors.Wrap(platform.ErrUnavailable, "the stand-in is down")
+		return objectstore.Events{}, nil, errors.Wrap(objectstore.ErrUnavailable, "the stand-in is down")
 	}
 	if after < p.compacted {
-		return platform.Events{}, nil, errors.Wrapf(platform.ErrCompacted, "watch %s after %d", kind, after)
+		return objectstore.Events{}, nil, errors.Wrapf(objectstore.ErrCompacted, "watch %s after %d", kind, after)
 	}
-	events := platform.Events{Next: p.version}
+	events := objectstore.Events{Next: p.version}
 	for _, e := range p.history {
 		if e.Object.Key.Kind == kind && e.Object.Version > after {
 			events.Events = append(events.Events, e)
--- a/internal/fakes/fakeplatform/platform_http.go
+++ b/internal/fakes/fakeplatform/platform_http.go
@@ -10,7 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"lentilferry.example/lentilferry/platform"
+	"lentilferry.example/lentilferry/objectstore"
 )
 
 const (
@@ -31,8 +31,8 @@
 	return mux
 }
 
-func keyOf(r *http.Request) platform.Key {
-	return platform.Key{Kind: platform.Kind(r.PathValue("kind")), Name: r.PathValue("name")}
+func keyOf(r *http.Request) objectstore.Key {
+	return objectstore.Key{Kind: objectstore.Kind(r.PathValue("kind")), Name: r.PathValue("name")}
 }
 
 func (p *Platform) serveGet(w http.ResponseWriter, r *http.Request) {
@@ -41,18 +41,18 @@
 		failRead(w, err)
 		return
 	}
-	answer(w, platform.ToWire(object))
+	answer(w, objectstore.ToWire(object))
 }
 
 func (p *Platform) serveList(w http.ResponseWriter, r *http.Request) {
-	objects, next, err := p.List(r.Context(), platform.Kind(r.PathValue("kind")))
+	objects, next, err := p.List(r.Context(), objectstore.Kind(r.PathValue("kind")))
 	if err != nil {
 		failRead(w, err)
 		return
 	}
-	list := platform.WireList{Next: next}
+	list := objectstore.WireList{Next: next}
 	for _, o := range objects {
-		list.Objects = append(list.Objects, platform.ToWire(o))
+		list.Objects = append(list.Objects, objectstore.ToWire(o))
 	}
 	answer(w, list)
 }
@@ -69,14 +69,14 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), limit)
 	defer cancel()
-	events, err := p.Watch(ctx, platform.Kind(r.PathValue("kind")), after)
+	events, err := p.Watch(ctx, objectstore.Kind(r.PathValue("kind")), after)
 	if err != nil {
 		failRead(w, err)
 		return
 	}
-	list := platform.WireList{Next: events.Next}
+	list := objectstore.WireList{Next: events.Next}
 	for _, e := range events.Events {
-		wire := platform.ToWire(e.Object)
+		wire := objectstore.ToWire(e.Object)
 		wire.Deleted = e.Deleted
 		list.Objects = append(list.Objects, wire)
 	}
@@ -84,7 +84,7 @@
 }
 
 func (p *Platform) servePut(w http.ResponseWriter, r *http.Request) {
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValueBytes))
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, objectstore.MaxValueBytes))
 	if err != nil {
 		http.Error(w, "the value can't be read or is too large", http.StatusRequestEntityTooLarge)
 		return
@@ -115,11 +115,11 @@
 	_ = json.NewEncoder(w).Encode(body)
 }
 
-func answerWrite(w http.ResponseWriter, outcome platform.WriteOutcome) {
+func answerWrite(w http.ResponseWriter, outcome objectstore.WriteOutcome) {
 	switch outcome.Result {
-	case platform.Written:
-		answer(w, platform.WireObject{Version: outcome.Version})
-	case platform.NotWritten:
+	case objectstore.Written:
+		answer(w, objectstore.WireObject{Version: outcome.Version})
+	case objectstore.NotWritten:
 		http.Error(w, outcome.Err.Error(), http.StatusConflict)
 	default:
 		http.Error(w, outcome.Err.Error(), _answerLost)
@@ -128,9 +128,9 @@
 
 func failRead(w http.ResponseWriter, err error) {
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objectstore.ErrNotFound):
 		http.Error(w, err.Error(), http.StatusNotFound)
-	case errors.Is(err, platform.ErrCompacted):
+	case errors.Is(err, objectstore.ErrCompacted):
 		http.Error(w, err.Error(), http.StatusGone)
 	default:
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
--- a/lentilferryd/main.go
+++ b/lentilferryd/main.go
@@ -26,7 +26,7 @@
 	"lentilferry.example/lentilferry/common/faults"
 	"lentilferry.example/lentilferry/node"
 	"lentilferry.example/lentilferry/operator"
-	"lentilferry.example/lentilferry/platform"
+	"lentilferry.example/lentilferry/objectstore"
 	"lentilferry.example/lentilferry/settings"
 )
 
@@ -114,7 +114,7 @@
 		Periods:    s.Periods,
 		Membership: s.Membership,
 		Lease:      s.Lease,
-		Platform: platform.NewHTTPClient(platform.HTTPDependencies{
+		Platform: objectstore.NewHTTPClient(objectstore.HTTPDependencies{
 			Base:      s.Platform,
 			Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute},
 		}),
--- a/node/node.go
+++ b/node/node.go
@@ -30,7 +30,7 @@
 	"lentilferry.example/lentilferry/lifecycle"
 	"lentilferry.example/lentilferry/membership"
 	"lentilferry.example/lentilferry/peer"
-	"lentilferry.example/lentilferry/platform"
+	"lentilferry.example/lentilferry/objectstore"
 	"lentilferry.example/lentilferry/quarantine"
 	"lentilferry.example/lentilferry/retry"
 	"lentilferry.example/lentilferry/revision"
@@ -41,10 +41,10 @@
 // Platform is what a node needs of the platform.
 type Platform interface {
 	control.Platform
-	Watch(ctx context.Context, kind platform.Kind, after uint64) (platform.Events, error)
+	Watch(ctx context.Context, kind objectstore.Kind, after uint64) (objectstore.Events, error)
 }
 
-var _ Platform = (*platform.HTTPClient)(nil)
+var _ Platform = (*objectstore.HTTPClient)(nil)
 
 // Upstream describes the node's own upstream.
 type Upstream struct {
--- a/node/node_integration_test.go
+++ b/node/node_integration_test.go
@@ -27,7 +27,7 @@
 	"lentilferry.example/lentilferry/lease"
 	"lentilferry.example/lentilferry/membership"
 	"lentilferry.example/lentilferry/node"
-	"lentilferry.example/lentilferry/platform"
+	"lentilferry.example/lentilferry/objectstore"
 	"lentilferry.example/lentilferry/revision"
 	"lentilferry.example/lentilferry/wire"
 )
@@ -110,7 +110,7 @@
 		ID: membership.NodeID(id), Region: "r", Zone: zone, Peer: peer, Seeds: seeds,
 		Upstream: node.Upstream{Service: "desk", Version: version, Address: address, HealthPath: "/healthz", Slots: 8, Warmup: 50 * time.Millisecond},
 		Periods:  periods, Membership: membership.DefaultTiming(), Lease: lease.DefaultTiming(),
-		Platform:  platform.NewHTTPClient(platform.HTTPDependencies{Base: m.base, Transport: transport, CallTimeout: time.Second, WatchTimeout: time.Second}),
+		Platform:  objectstore.NewHTTPClient(objectstore.HTTPDependencies{Base: m.base, Transport: transport, CallTimeout: time.Second, WatchTimeout: time.Second}),
 		Listeners: l, Logger: klog.Logger{}, Now: time.Now,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -423,5 +423,5 @@
 	assert.NilError(m.t, err)
 	head, err := m.platform.Get(context.Background(), revision.HeadKey)
 	assert.NilError(m.t, err)
-	assert.Equal(m.t, m.platform.Update(context.Background(), revision.HeadKey, head.Version, value).Result, platform.Written)
+	assert.Equal(m.t, m.platform.Update(context.Background(), revision.HeadKey, head.Version, value).Result, objectstore.Written)
 }
--- a/node/relay.go
+++ b/node/relay.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"lentilferry.example/lentilferry/membership"
-	"lentilferry.example/lentilferry/platform"
+	"lentilferry.example/lentilferry/objectstore"
 	"lentilferry.example/lentilferry/revision"
 	"lentilferry.example/lentilferry/wire"
 )
@@ -69,12 +69,12 @@
 	}
 	watching, cancel := context.WithTimeout(ctx, roster.pause)
 	defer cancel()
-	_, err = n.d.Platform.Watch(watching, platform.KindHead, seen)
+	_, err = n.d.Platform.Watch(watching, objectstore.KindHead, seen)
 	if watching.Err() != nil && ctx.Err() == nil {
 		// It is time to look at the rosters again.
 		return nil
 	}
-	if errors.Is(err, platform.ErrCompacted) {
+	if errors.Is(err, objectstore.ErrCompacted) {
 		return nil
 	}
 	return errors.Wrap(err, "watch head")
@@ -95,7 +95,7 @@
 func (n *Node) readHead(ctx context.Context) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, _loadTimeout)
 	defer cancel()
-	heads, seen, err := n.d.Platform.List(ctx, platform.KindHead)
+	heads, seen, err := n.d.Platform.List(ctx, objectstore.KindHead)
 	if err != nil {
 		return 0, errors.Wrap(err, "read head")
 	}
@@ -116,7 +116,7 @@
 	return seen, nil
 }
 
-func (n *Node) refuse(head platform.Object, cause error) {
+func (n *Node) refuse(head objectstore.Object, cause error) {
 	n.d.Logger.Info("Refused revision", "peer", "platform", "cause", cause.Error())
 	if m, err := (wire.Codec{}).DecodeManifest(head.Value); err == nil {
 		n.holder.Refuse(m.Number, cause.Error())
@@ -148,11 +148,11 @@
 	if !k.due(n.d.Now()) {
 		return nil
 	}
-	objects, _, err := n.d.Platform.List(ctx, platform.KindRoster)
+	objects, _, err := n.d.Platform.List(ctx, objectstore.KindRoster)
 	if err != nil {
 		return errors.Wrap(err, "list rosters")
 	}
-	own := platform.Object{Key: platform.Key{Kind: platform.KindRoster, Name: string(n.d.Zone)}}
+	own := objectstore.Object{Key: objectstore.Key{Kind: objectstore.KindRoster, Name: string(n.d.Zone)}}
 	for _, object := range objects {
 		n.contactUnknown(ctx, n.rosterOf(object))
 		if object.Key == own.Key {
@@ -171,7 +171,7 @@
 	n.contactAny(ctx, slices.DeleteFunc(peers, func(p netip.AddrPort) bool { return known[p] }))
 }
 
-func (n *Node) writeRoster(ctx context.Context, stored platform.Object) error {
+func (n *Node) writeRoster(ctx context.Context, stored objectstore.Object) error {
 	value, err := wire.EncodeRoster(n.rosterPeers())
 	if err != nil {
 		return err
@@ -187,7 +187,7 @@
 }
 
 // rosterOf returns the peers that a roster names.
-func (n *Node) rosterOf(object platform.Object) []netip.AddrPort {
+func (n *Node) rosterOf(object objectstore.Object) []netip.AddrPort {
 	peers, err := wire.DecodeRoster(object.Value)
 	if err != nil {
 		n.d.Logger.Info("Roster not read", "zone", object.Key.Name, "cause", err.Error())
@@ -236,7 +236,7 @@
 }
 
 func (n *Node) listRosters(ctx context.Context) []netip.AddrPort {
-	objects, _, err := n.d.Platform.List(ctx, platform.KindRoster)
+	objects, _, err := n.d.Platform.List(ctx, objectstore.KindRoster)
 	if err != nil {
 		return nil
 	}
--- a/platform/platform.go
+++ b/objectstore/objectstore.go
@@ -1,6 +1,6 @@
-// Package platform holds the types and the HTTP client for the platform's
+// Package objectstore holds the types and the HTTP client for the platform's
 // object API: objects with versions, conditional updates and watches.
-package platform
+package objectstore
 
 import (
 	"github.com/cockroachdb/errors"
--- a/platform/platform_http.go
+++ b/objectstore/objectstore_http.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"bytes"
--- a/platform/platform_http_test.go
+++ b/objectstore/objectstore_http_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objectstore_test
 
 import (
 	"context"
@@ -13,12 +13,12 @@
 	"gotest.tools/v3/assert"
 
 	"lentilferry.example/lentilferry/internal/fakes/fakeplatform"
-	"lentilferry.example/lentilferry/platform"
+	"lentilferry.example/lentilferry/objectstore"
 )
 
-var _key = platform.Key{Kind: "kind", Name: "a/b c"}
+var _key = objectstore.Key{Kind: "kind", Name: "a/b c"}
 
-func newClient(t *testing.T, handler http.Handler) *platform.HTTPClient {
+func newClient(t *testing.T, handler http.Handler) *objectstore.HTTPClient {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(func() {
@@ -27,7 +27,7 @@
 	})
 	base, err := url.Parse(server.URL)
 	assert.NilError(t, err)
-	return platform.NewHTTPClient(platform.HTTPDependencies{
+	return objectstore.NewHTTPClient(objectstore.HTTPDependencies{
 		Base: base, Transport: &http.Transport{}, CallTimeout: 300 * time.Millisecond, WatchTimeout: 300 * time.Millisecond,
 	})
 }
@@ -36,15 +36,15 @@
 	ctx := context.Background()
 	c := newClient(t, fakeplatform.New().Handler())
 	_, err := c.Get(ctx, _key)
-	assert.Assert(t, errors.Is(err, platform.ErrNotFound))
+	assert.Assert(t, errors.Is(err, objectstore.ErrNotFound))
 	created := c.Create(ctx, _key, []byte("one"))
-	assert.Equal(t, created.Result, platform.Written, "%v", created.Err)
+	assert.Equal(t, created.Result, objectstore.Written, "%v", created.Err)
 	again := c.Create(ctx, _key, []byte("other"))
-	assert.Equal(t, again.Result, platform.NotWritten)
-	assert.Assert(t, errors.Is(again.Err, platform.ErrConflict))
+	assert.Equal(t, again.Result, objectstore.NotWritten)
+	assert.Assert(t, errors.Is(again.Err, objectstore.ErrConflict))
 	updated := c.Update(ctx, _key, created.Version, []byte("two"))
-	assert.Equal(t, updated.Result, platform.Written)
-	assert.Equal(t, c.Update(ctx, _key, created.Version, []byte("late")).Result, platform.NotWritten)
+	assert.Equal(t, updated.Result, objectstore.Written)
+	assert.Equal(t, c.Update(ctx, _key, created.Version, []byte("late")).Result, objectstore.NotWritten)
 	object, err := c.Get(ctx, _key)
 	assert.NilError(t, err)
 	assert.Equal(t, string(object.Value), "two")
@@ -53,11 +53,11 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(objects), 1)
 	assert.Equal(t, next, updated.Version)
-	assert.Equal(t, c.Delete(ctx, _key, created.Version).Result, platform.NotWritten)
-	assert.Equal(t, c.Delete(ctx, _key, updated.Version).Result, platform.Written)
-	large := c.Create(ctx, _key, make([]byte, platform.MaxValueBytes+1))
-	assert.Equal(t, large.Result, platform.NotWritten)
-	assert.Assert(t, errors.Is(large.Err, platform.ErrTooLarge))
+	assert.Equal(t, c.Delete(ctx, _key, created.Version).Result, objectstore.NotWritten)
+	assert.Equal(t, c.Delete(ctx, _key, updated.Version).Result, objectstore.Written)
+	large := c.Create(ctx, _key, make([]byte, objectstore.MaxValueBytes+1))
+	assert.Equal(t, large.Result, objectstore.NotWritten)
+	assert.Assert(t, errors.Is(large.Err, objectstore.ErrTooLarge))
 }
 
 func TestWatch(t *testing.T) {
@@ -76,7 +76,7 @@
 	assert.Assert(t, events.Events[0].Deleted && !events.Events[1].Deleted)
 	p.CompactHistory()
 	_, err = c.Watch(ctx, "kind", 0)
-	assert.Assert(t, errors.Is(err, platform.ErrCompacted))
+	assert.Assert(t, errors.Is(err, objectstore.ErrCompacted))
 }
 
 // Each kind of trouble gives the outcome that is true of it.
@@ -87,15 +87,15 @@
 	for _, f := range []fakeplatform.Faults{{Down: true}, {LoseAnswers: true}, {Delay: time.Second}} {
 		p.SetFaults(f)
 		outcome := c.Create(ctx, _key, []byte("x"))
-		assert.Equal(t, outcome.Result, platform.Unknown)
-		assert.Assert(t, errors.Is(outcome.Err, platform.ErrUnavailable))
+		assert.Equal(t, outcome.Result, objectstore.Unknown)
+		assert.Assert(t, errors.Is(outcome.Err, objectstore.ErrUnavailable))
 		if f.LoseAnswers {
 			continue
 		}
 		_, err := c.Get(ctx, _key)
-		assert.Assert(t, errors.Is(err, platform.ErrUnavailable))
+		assert.Assert(t, errors.Is(err, objectstore.ErrUnavailable))
 		_, err = c.Watch(ctx, "kind", 0)
-		assert.Assert(t, f.Delay > 0 || errors.Is(err, platform.ErrUnavailable))
+		assert.Assert(t, f.Delay > 0 || errors.Is(err, objectstore.ErrUnavailable))
 	}
 	p.SetFaults(fakeplatform.Faults{})
 	object, err := c.Get(ctx, _key)
@@ -113,8 +113,8 @@
 		}
 		_, _ = w.Write([]byte(`{"version": 1}`))
 	}))
-	assert.Equal(t, c.Create(context.Background(), _key, nil).Result, platform.Written)
-	assert.Equal(t, c.Update(context.Background(), _key, 1, nil).Result, platform.Unknown)
+	assert.Equal(t, c.Create(context.Background(), _key, nil).Result, objectstore.Written)
+	assert.Equal(t, c.Update(context.Background(), _key, 1, nil).Result, objectstore.Unknown)
 	assert.Equal(t, calls.Load(), int64(2))
 }
 
@@ -122,7 +122,7 @@
 	c := newClient(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte("<html>"))
 	}))
-	assert.Equal(t, c.Create(context.Background(), _key, nil).Result, platform.Unknown)
+	assert.Equal(t, c.Create(context.Background(), _key, nil).Result, objectstore.Unknown)
 	_, err := c.Get(context.Background(), _key)
-	assert.Assert(t, errors.Is(err, platform.ErrUnavailable))
+	assert.Assert(t, errors.Is(err, objectstore.ErrUnavailable))
 }
--- a/operator/server.go
+++ b/operator/server.go
@@ -15,7 +15,7 @@
 	lentilferryv1 "lentilferry.example/lentilferry/gen/lentilferry/v1"
 	"lentilferry.example/lentilferry/gen/lentilferry/v1/lentilferryv1connect"
 	"lentilferry.example/lentilferry/membership"
-	"lentilferry.example/lentilferry/platform"
+	"lentilferry.example/lentilferry/objectstore"
 	"lentilferry.example/lentilferry/revision"
 	"lentilferry.example/lentilferry/rollout"
 	"lentilferry.example/lentilferry/wire"
@@ -58,11 +58,11 @@
 		code = connect.CodeUnknown
 	case errors.Is(err, rollout.ErrInfeasible), errors.Is(err, rollout.ErrOutdated):
 		code = connect.CodeFailedPrecondition
-	case errors.Is(err, rollout.ErrState), errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, rollout.ErrState), errors.Is(err, objectstore.ErrConflict):
 		code = connect.CodeAborted
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objectstore.ErrNotFound):
 		code = connect.CodeNotFound
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, objectstore.ErrUnavailable):
 		code = connect.CodeUnavailable
 	}
 	return connect.NewError(code, err)
--- a/quickstart/mesh.go
+++ b/quickstart/mesh.go
@@ -20,7 +20,7 @@
 	"lentilferry.example/lentilferry/membership"
 	"lentilferry.example/lentilferry/node"
 	"lentilferry.example/lentilferry/operator"
-	"lentilferry.example/lentilferry/platform"
+	"lentilferry.example/lentilferry/objectstore"
 )
 
 // The parts of the mesh.
@@ -147,7 +147,7 @@
 		Periods:    quickPeriods(),
 		Membership: membership.DefaultTiming(),
 		Lease:      lease.Timing{Lifetime: 2 * time.Second, RenewEvery: 500 * time.Millisecond, Margin: 500 * time.Millisecond},
-		Platform:   platform.NewHTTPClient(platform.HTTPDependencies{Base: m.base, Transport: &http.Transport{}}),
+		Platform:   objectstore.NewHTTPClient(objectstore.HTTPDependencies{Base: m.base, Transport: &http.Transport{}}),
 		Listeners:  listeners,
 		Logger:     klog.Background().WithValues("node", id),
 		Now:        time.Now,
--- a/revision/committer.go
+++ b/revision/committer.go
@@ -9,33 +9,33 @@
 	"github.com/cockroachdb/errors"
 
 	"lentilferry.example/lentilferry/config"
-	"lentilferry.example/lentilferry/platform"
+	"lentilferry.example/lentilferry/objectstore"
 )
 
 // HeadKey names the object that carries the current revision.
-var HeadKey = platform.Key{Kind: platform.KindHead, Name: "head"}
+var HeadKey = objectstore.Key{Kind: objectstore.KindHead, Name: "head"}
 
 // ReadStore is what loading a revision needs of the platform.
 type ReadStore interface {
-	Get(ctx context.Context, key platform.Key) (platform.Object, error)
+	Get(ctx context.Context, key objectstore.Key) (objectstore.Object, error)
 }
 
 // Store is what committing a revision needs of the platform.
 type Store interface {
 	ReadStore
-	Create(ctx context.Context, key platform.Key, value []byte) platform.WriteOutcome
-	Update(ctx context.Context, key platform.Key, version uint64, value []byte) platform.WriteOutcome
+	Create(ctx context.Context, key objectstore.Key, value []byte) objectstore.WriteOutcome
+	Update(ctx context.Context, key objectstore.Key, version uint64, value []byte) objectstore.WriteOutcome
 }
 
 // ResourceKey names the object that holds a resource.
-func ResourceKey(h Hash) platform.Key {
-	return platform.Key{Kind: platform.KindResource, Name: h.String()}
+func ResourceKey(h Hash) objectstore.Key {
+	return objectstore.Key{Kind: objectstore.KindResource, Name: h.String()}
 }
 
 // Load reads the manifest from the head object and the resources that known
 // lacks from the store, and checks the revision whole. It returns known when
 // that is as new. The error is one of Build's or of the platform's.
-func Load(ctx context.Context, store ReadStore, codec Codec, head platform.Object, known *Snapshot) (*Snapshot, error) {
+func Load(ctx context.Context, store ReadStore, codec Codec, head objectstore.Object, known *Snapshot) (*Snapshot, error) {
 	m, err := codec.DecodeManifest(head.Value)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "decode head"), ErrInvalid)
@@ -183,7 +183,7 @@
 func (c *Committer) try(ctx context.Context, now time.Time, request CommitRequest) attempt {
 	base, version, err := c.readHead(ctx)
 	if err != nil {
-		return attempt{outcome: CommitOutcome{Result: Refused, Err: err}, retry: errors.Is(err, platform.ErrUnavailable)}
+		return attempt{outcome: CommitOutcome{Result: Refused, Err: err}, retry: errors.Is(err, objectstore.ErrUnavailable)}
 	}
 	a := attempt{head: version, readHead: true}
 	a.outcome, a.retry = c.tryOver(ctx, now, request, base, version)
@@ -202,7 +202,7 @@
 	}
 	wanted, err := request.Change(ctx, current)
 	if err != nil {
-		return CommitOutcome{Result: Refused, Err: err}, errors.Is(err, platform.ErrUnavailable)
+		return CommitOutcome{Result: Refused, Err: err}, errors.Is(err, objectstore.ErrUnavailable)
 	}
 	next, err := Next(c.codec, base, wanted, request.Operation, request.Message, now)
 	if err != nil {
@@ -216,7 +216,7 @@
 
 func (c *Committer) readHead(ctx context.Context) (*Snapshot, uint64, error) {
 	head, err := c.store.Get(ctx, HeadKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		// A head that was there before is lost: what is held goes on from its
 		// number, or no node would take the new revision.
 		return c.holder.Current(), 0, nil
@@ -230,7 +230,7 @@
 	}
 	known := c.holder.Current()
 	if known != nil && known.Manifest.Number > m.Number {
-		return nil, 0, errors.Wrapf(platform.ErrUnavailable, "the head read has number %d, older than %d held here", m.Number, known.Manifest.Number)
+		return nil, 0, errors.Wrapf(objectstore.ErrUnavailable, "the head read has number %d, older than %d held here", m.Number, known.Manifest.Number)
 	}
 	base, err := Load(ctx, c.store, c.codec, head, known)
 	return base, head.Version, err
@@ -241,27 +241,27 @@
 	if err != nil {
 		return CommitOutcome{Result: Refused, Err: err}, false
 	}
-	if len(value) > platform.MaxValueBytes {
-		err = errors.Newf("the manifest has %d bytes, more than %d; remove resources", len(value), platform.MaxValueBytes)
+	if len(value) > objectstore.MaxValueBytes {
+		err = errors.Newf("the manifest has %d bytes, more than %d; remove resources", len(value), objectstore.MaxValueBytes)
 		return CommitOutcome{Result: Refused, Err: err}, false
 	}
 	if version == 0 {
 		base = nil
 	}
 	if err := c.writeResources(ctx, base, next); err != nil {
-		return CommitOutcome{Result: Refused, Err: err}, errors.Is(err, platform.ErrUnavailable)
+		return CommitOutcome{Result: Refused, Err: err}, errors.Is(err, objectstore.ErrUnavailable)
 	}
-	var outcome platform.WriteOutcome
+	var outcome objectstore.WriteOutcome
 	if base == nil {
 		outcome = c.store.Create(ctx, HeadKey, value)
 	} else {
 		outcome = c.store.Update(ctx, HeadKey, version, value)
 	}
 	switch outcome.Result {
-	case platform.Written:
+	case objectstore.Written:
 		c.holder.Offer(next)
 		return CommitOutcome{Result: Committed, Number: next.Manifest.Number}, false
-	case platform.NotWritten:
+	case objectstore.NotWritten:
 		return CommitOutcome{Result: Refused, Err: outcome.Err}, true
 	default:
 		return CommitOutcome{Result: Unresolved, Err: outcome.Err}, true
@@ -276,7 +276,7 @@
 			continue
 		}
 		outcome := c.store.Create(ctx, ResourceKey(hash), value)
-		if outcome.Result == platform.Written || errors.Is(outcome.Err, platform.ErrConflict) {
+		if outcome.Result == objectstore.Written || errors.Is(outcome.Err, objectstore.ErrConflict) {
 			continue
 		}
 		return errors.Wrap(outcome.Err, fmt.Sprintf("write resource %s", hash))
--- a/revision/revision_test.go
+++ b/revision/revision_test.go
@@ -14,7 +14,7 @@
 	"lentilferry.example/lentilferry/config"
 	"lentilferry.example/lentilferry/distribution"
 	"lentilferry.example/lentilferry/internal/fakes/fakeplatform"
-	"lentilferry.example/lentilferry/platform"
+	"lentilferry.example/lentilferry/objectstore"
 	"lentilferry.example/lentilferry/revision"
 	"lentilferry.example/lentilferry/wire"
 )
@@ -46,7 +46,7 @@
 // headNumber returns what the platform really holds.
 func headNumber(t assert.TestingT, p *fakeplatform.Platform) uint64 {
 	object, err := p.Get(context.Background(), revision.HeadKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return 0
 	}
 	assert.NilError(t, err)
@@ -65,7 +65,7 @@
 	p.SetFaults(fakeplatform.Faults{Down: true})
 	got := commit(p, h, "op-1", numbered(1))
 	assert.Equal(t, got.Result, revision.Refused)
-	assert.Assert(t, errors.Is(got.Err, platform.ErrUnavailable))
+	assert.Assert(t, errors.Is(got.Err, objectstore.ErrUnavailable))
 	p.SetFaults(fakeplatform.Faults{})
 	assert.Equal(t, headNumber(t, p), uint64(1))
 
@@ -86,18 +86,18 @@
 	before func()
 }
 
-func (l lossyHead) Update(ctx context.Context, key platform.Key, version uint64, value []byte) platform.WriteOutcome {
+func (l lossyHead) Update(ctx context.Context, key objectstore.Key, version uint64, value []byte) objectstore.WriteOutcome {
 	if l.before != nil {
 		l.before()
 	}
 	outcome := l.Platform.Update(ctx, key, version, value)
-	if outcome.Result != platform.Written {
+	if outcome.Result != objectstore.Written {
 		return outcome
 	}
 	if l.downAfter {
 		l.SetFaults(fakeplatform.Faults{Down: true})
 	}
-	return platform.WriteOutcome{Result: platform.Unknown, Err: platform.ErrUnavailable}
+	return objectstore.WriteOutcome{Result: objectstore.Unknown, Err: objectstore.ErrUnavailable}
 }
 
 func TestLostAnswerOfTheHead(t *testing.T) {
@@ -148,8 +148,8 @@
 // slowHead holds writes of the head back for longer than their callers wait.
 type slowHead struct{ *fakeplatform.Platform }
 
-func (slowHead) Update(context.Context, platform.Key, uint64, []byte) platform.WriteOutcome {
-	return platform.WriteOutcome{Result: platform.Unknown, Err: platform.ErrUnavailable}
+func (slowHead) Update(context.Context, objectstore.Key, uint64, []byte) objectstore.WriteOutcome {
+	return objectstore.WriteOutcome{Result: objectstore.Unknown, Err: objectstore.ErrUnavailable}
 }
 
 // A platform that has lost its objects is filled again from what the node
