--- a/admission/gate.go
+++ b/admission/gate.go
@@ -35,6 +35,9 @@
 	Done Result = iota + 1
 	// Shed means that the upstream refused the call or ran out of time.
 	Shed
+	// Refused means that the call was not run, for a reason that says nothing
+	// of the upstream's load.
+	Refused
 )
 
 // Limits bounds what waits for an upstream.
@@ -70,6 +73,12 @@
 	// Caller groups the calls between which slots are shared fairly.
 	Caller   string
 	Deadline time.Time
+	// Route names the calls that take about as long as each other.
+	Route config.RouteName
+	// Rank orders calls by urgency; 0 is the most urgent.
+	Rank uint32
+	// Useful is until when an answer is of full use to the caller.
+	Useful time.Time
 }
 
 const (
@@ -121,6 +130,8 @@
 	// reason is empty for an admitted call; set before decided is closed.
 	reason  Reason
 	element *list.Element
+	// retryAfter is when a refused call would find room; 0 when not known.
+	retryAfter time.Duration
 }
 
 // Decided returns a channel that is closed when the call was admitted or
@@ -135,6 +146,12 @@
 	return t.reason
 }
 
+// RetryAfter returns when a refused call would find room, 0 when that is not
+// known. It may be called after Decided was closed.
+func (t *Ticket) RetryAfter() time.Duration {
+	return t.retryAfter
+}
+
 func (t *Ticket) refuse(reason Reason) {
 	t.reason = reason
 	close(t.decided)
@@ -204,7 +221,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.running--
-	g.learn(now, now.Sub(ticket.started), result)
+	if result != Refused {
+		g.learn(now, now.Sub(ticket.started), result)
+	}
 	g.fill(now)
 }
 
@@ -304,17 +323,32 @@
 	g.draining = false
 }
 
+// Resize sets how many calls the upstream runs at once.
+func (g *Gate) Resize(slots int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if slots == g.limits.Slots {
+		return
+	}
+	g.limits = DefaultLimits(slots)
+	g.limit = float64(slots)
+	g.lookups.limits = g.limits.Lookup
+	g.commands.limits = g.limits.Command
+}
+
 // Load is how busy an upstream is.
 type Load struct {
 	Running int
 	Waiting int
 	// Limit is how many calls run at once at present.
 	Limit int
+	// Work is how long a call runs on average; 0 before the first.
+	Work time.Duration
 }
 
 // Load returns how busy the upstream is.
 func (g *Gate) Load() Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return Load{Running: g.running, Waiting: g.waiting(), Limit: int(g.limit)}
+	return Load{Running: g.running, Waiting: g.waiting(), Limit: int(g.limit), Work: g.average}
 }
--- a/call/dial.go
+++ b/call/dial.go
@@ -6,10 +6,9 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"lentilferry.example/lentilferry/common/dial"
 )
 
 // countedConn counts the bytes written to a connection, so that a call of
@@ -71,41 +70,15 @@
 	_forwardIdle = 30 * time.Second
 	// _forwardIdleMost is how many unused connections to one node are kept.
 	_forwardIdleMost = 32
-	// _probeAfter is how long a connection may be silent before the kernel
-	// probes it; _probeEvery and _probes are how often it does.
-	_probeAfter = time.Second
-	_probeEvery = time.Second
-	_probes     = 2
-	// _silenceMost is how long sent data may stay unacknowledged.
-	_silenceMost = 3 * time.Second
 	// _maxHeaderBytes bounds the headers of an answer.
 	_maxHeaderBytes = 64 << 10
 )
 
-// NewUpstreamTransport returns the transport from a node to its own upstream,
-// with at most the given number of idle connections. It sends no call twice.
-func NewUpstreamTransport(idle int) *http.Transport {
-	return newTransport(idle, _upstreamIdle)
-}
-
 // NewForwardTransport returns the transport that carries calls to other nodes.
 // It sends no call twice. A connection that goes silent is closed by the
 // kernel within a few seconds, whether it is idle or waits for an answer.
 func NewForwardTransport() *http.Transport {
-	return newTransport(_forwardIdleMost, _forwardIdle)
-}
-
-func newTransport(idle int, idleTime time.Duration) *http.Transport {
-	dialer := &net.Dialer{
-		Timeout: _dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     _probeAfter,
-			Interval: _probeEvery,
-			Count:    _probes,
-		},
-		Control: limitSilence,
-	}
+	dialer := dial.New(_dialTimeout)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
@@ -115,21 +88,8 @@
 			return &countedConn{Conn: conn}, nil
 		},
 		DisableCompression:     true,
-		MaxIdleConnsPerHost:    idle,
-		IdleConnTimeout:        idleTime,
+		MaxIdleConnsPerHost:    _forwardIdleMost,
+		IdleConnTimeout:        _forwardIdle,
 		MaxResponseHeaderBytes: _maxHeaderBytes,
 	}
 }
-
-// limitSilence makes the kernel close a connection on which sent data is not
-// acknowledged for too long.
-func limitSilence(_, _ string, raw syscall.RawConn) error {
-	var failure error
-	err := raw.Control(func(fd uintptr) {
-		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(_silenceMost.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return failure
-}
--- a/call/forward.go
+++ b/call/forward.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -20,18 +21,40 @@
 	id      string
 	attempt int
 	// owner is the member that the call is meant for; see membership.Member.Instance.
-	owner  string
-	route  config.RouteName
-	class  config.Class
+	owner string
+	route config.RouteName
+	class config.Class
+	// caller groups calls between which slots are shared fairly.
 	caller string
+	// origin is the service on the VM where the call began; empty for none.
+	origin config.ServiceName
+	// repeatable is set for a call that may be run more than once.
+	repeatable bool
+	// rank is the route's urgency; 0 is the most urgent.
+	rank uint32
+	// useful is how much longer an answer is of full use to the caller; not
+	// positive when it no longer is.
+	useful time.Duration
 }
 
 // _forwardedFields is the number of fields of the header.
-const _forwardedFields = 6
+const _forwardedFields = 10
+
+// _none stands for an empty field.
+const _none = "-"
 
 // String returns the header's value. Names have no spaces.
 func (f forwarded) String() string {
-	return f.id + " " + strconv.Itoa(f.attempt) + " " + f.owner + " " + string(f.route) + " " + strconv.Itoa(int(f.class)) + " " + f.caller
+	origin := string(f.origin)
+	if origin == "" {
+		origin = _none
+	}
+	repeatable := "0"
+	if f.repeatable {
+		repeatable = "1"
+	}
+	return f.id + " " + strconv.Itoa(f.attempt) + " " + f.owner + " " + string(f.route) + " " + strconv.Itoa(int(f.class)) + " " + f.caller +
+		" " + origin + " " + repeatable + " " + strconv.FormatUint(uint64(f.rank), 10) + " " + strconv.FormatInt(f.useful.Milliseconds(), 10)
 }
 
 // parseForwarded reads the header's value.
@@ -40,18 +63,22 @@
 	if len(fields) != _forwardedFields {
 		return forwarded{}, errors.Newf("%s has %d fields", headerCall, len(fields))
 	}
-	attempt, err := strconv.Atoi(fields[1])
-	if err != nil {
-		return forwarded{}, errors.Wrap(err, headerCall)
+	var failure error
+	number := func(text string, bits int) int64 {
+		n, err := strconv.ParseInt(text, 10, bits)
+		failure = errors.CombineErrors(failure, errors.Wrap(err, headerCall))
+		return n
+	}
+	f := forwarded{
+		id: fields[0], attempt: int(number(fields[1], 32)), owner: fields[2], route: config.RouteName(fields[3]),
+		class: config.Class(number(fields[4], 32)), caller: fields[5], origin: config.ServiceName(fields[6]),
+		repeatable: fields[7] == "1", rank: uint32(number(fields[8], 32)),
+		useful: time.Duration(number(fields[9], 64)) * time.Millisecond,
 	}
-	class, err := strconv.Atoi(fields[4])
-	if err != nil {
-		return forwarded{}, errors.Wrap(err, headerCall)
+	if f.origin == _none {
+		f.origin = ""
 	}
-	return forwarded{
-		id: fields[0], attempt: attempt, owner: fields[2], route: config.RouteName(fields[3]),
-		class: config.Class(class), caller: fields[5],
-	}, nil
+	return f, failure
 }
 
 // identity names one attempt of the call.
@@ -61,14 +88,14 @@
 
 // outgoing returns the request as the next hop gets it: without the headers
 // that belong to the connection or to the system.
-func outgoing(ctx context.Context, r *http.Request, host string, body io.ReadCloser) *http.Request {
+func outgoing(ctx context.Context, r *http.Request, host string, body io.ReadCloser, dialect Dialect) *http.Request {
 	out := &http.Request{
 		Method:        r.Method,
 		URL:           &url.URL{Scheme: "http", Host: host, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery},
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
 		ProtoMinor:    1,
-		Header:        passedOn(r.Header),
+		Header:        passedOn(r.Header, dialect),
 		Body:          noRewind(r, body),
 		ContentLength: r.ContentLength,
 		Host:          r.Host,
@@ -78,11 +105,11 @@
 }
 
 // passedOn returns the headers that go on to the next hop.
-func passedOn(h http.Header) http.Header {
+func passedOn(h http.Header, dialect Dialect) http.Header {
 	const own = 4
 	out := make(http.Header, len(h)+own)
 	for name, values := range h {
-		if !isHopByHop(name) && !strings.HasPrefix(name, headerPrefix) {
+		if !isHopByHop(name) && !strings.HasPrefix(name, headerPrefix) && !dialect.IsInternal(name) {
 			out[name] = values
 		}
 	}
--- a/call/headers.go
+++ b/call/headers.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"lentilferry.example/lentilferry/config"
 )
 
 // isHopByHop reports whether a header belongs to one connection (RFC 9110,
@@ -37,19 +39,25 @@
 	return false
 }
 
-// remaining returns the time left that a header states, and most when it is
-// absent.
-func remaining(h http.Header, most time.Duration) (time.Duration, error) {
+// remaining returns the time left that HeaderRemaining states. It returns
+// false when the header is absent.
+func remaining(h http.Header) (time.Duration, bool, error) {
 	text := h.Get(HeaderRemaining)
 	if text == "" {
-		return most, nil
+		return 0, false, nil
 	}
+	left, err := ParseMillis(text)
+	return left, true, errors.Wrap(err, HeaderRemaining)
+}
+
+// ParseMillis reads a whole number of milliseconds, not negative.
+func ParseMillis(text string) (time.Duration, error) {
 	millis, err := strconv.ParseInt(text, 10, 64)
 	if err != nil || millis < 0 {
-		return 0, errors.Newf("%s: %q is not a number of milliseconds", HeaderRemaining, text)
+		return 0, errors.Newf("%q is not a number of milliseconds", text)
 	}
-	if millis > most.Milliseconds() {
-		return most, nil
+	if millis > config.MaxTimeout.Milliseconds() {
+		return config.MaxTimeout, nil
 	}
 	return time.Duration(millis) * time.Millisecond, nil
 }
@@ -67,7 +75,7 @@
 	return n, nil
 }
 
-func formatRemaining(d time.Duration) string {
+func formatMillis(d time.Duration) string {
 	return strconv.FormatInt(max(0, d.Milliseconds()), 10)
 }
 
--- a/call/outcome.go
+++ b/call/outcome.go
@@ -91,8 +91,10 @@
 	headerPrefix = "Lentilferry-"
 	// headerCall marks a call that a node has forwarded; see forwarded.
 	headerCall = "Lentilferry-Call"
-	// headerLoad is how many calls run or wait at an owner.
+	// headerLoad is an upstream's load as its owner sees it.
 	headerLoad = "Lentilferry-Load"
+	// headerRetryMillis is when an owner would take a call that it refused.
+	headerRetryMillis = "Lentilferry-Retry-Millis"
 )
 
 // MaxDepth is how many services a call may pass through.
@@ -103,22 +105,32 @@
 	Outcome Outcome
 	// Reason is empty for an answered call.
 	Reason Reason
+	// RetryAfter is when a call that was not run is worth sending again; 0
+	// when that is not known.
+	RetryAfter time.Duration
 }
 
-// RetryAfter is the hint given with a refusal.
-const RetryAfter = time.Second
+// DefaultRetryAfter is the hint given with a refusal of which nothing better
+// is known.
+const DefaultRetryAfter = time.Second
+
+// reachedUpstream reports whether the call was sent to an upstream.
+func (v Verdict) reachedUpstream() bool {
+	return v.Outcome != NotRun || v.Reason == ReasonUpstreamRefused
+}
 
 // write sends a verdict other than Answered as the answer.
-func (v Verdict) write(w http.ResponseWriter, status int) {
+func (v Verdict) write(w http.ResponseWriter, dialect Dialect) {
 	h := w.Header()
-	h.Set(HeaderOutcome, v.Outcome.String())
-	h.Set(HeaderReason, string(v.Reason))
-	if v.Outcome == NotRun && status == http.StatusServiceUnavailable {
-		h.Set("Retry-After", strconv.Itoa(int(RetryAfter/time.Second)))
+	if v.RetryAfter == 0 {
+		v.RetryAfter = DefaultRetryAfter
 	}
+	dialect.Refused(h, v)
+	text := v.Outcome.String() + ": " + string(v.Reason) + "\n"
 	h.Set("Content-Type", "text/plain; charset=utf-8")
-	w.WriteHeader(status)
-	_, _ = w.Write([]byte(v.Outcome.String() + ": " + string(v.Reason) + "\n"))
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(v.status())
+	_, _ = w.Write([]byte(text))
 }
 
 // status returns the HTTP status for a verdict that is not Answered.
--- a/call/owner.go
+++ b/call/owner.go
@@ -1,6 +1,7 @@
 package call
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -11,12 +12,14 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
 
 	"lentilferry.example/lentilferry/admission"
 	"lentilferry.example/lentilferry/config"
 	"lentilferry.example/lentilferry/evidence"
 	"lentilferry.example/lentilferry/identity"
 	"lentilferry.example/lentilferry/membership"
+	"lentilferry.example/lentilferry/upstream"
 )
 
 // Observer takes in what owners see.
@@ -24,19 +27,38 @@
 	Observe(now time.Time, o evidence.Observation)
 }
 
+// Process tells which process of the upstream takes calls, and is told how it
+// answers.
+type Process interface {
+	// ID returns the process that calls are meant for; empty for any. It
+	// returns false when none takes calls.
+	ID(now time.Time) (upstream.ID, bool)
+	// Answered says that the process answered a call.
+	Answered(now time.Time, id upstream.ID)
+	// Lost says that the process took no connection.
+	Lost(now time.Time, id upstream.ID)
+}
+
 // OwnerDependencies are what an Owner is built from.
 type OwnerDependencies struct {
 	// Self returns the node's own record.
 	Self func() membership.Member
 	// Upstream is where the node's upstream listens.
 	Upstream netip.AddrPort
-	// Transport carries calls to the upstream; see NewUpstreamTransport.
+	// Process is nil where the upstream is whatever listens.
+	Process Process
+	// Transport carries calls to the upstream; see NewUpstreamClient.
 	Transport http.RoundTripper
-	Gate      *admission.Gate
-	Record    *identity.Record
-	Observer  Observer
-	Metrics   *Metrics
-	Now       func() time.Time
+	Dialect   Dialect
+	// UnboundedAnswers allows answers without a length, which end with their
+	// connection.
+	UnboundedAnswers bool
+	Gate             *admission.Gate
+	Record           *identity.Record
+	Observer         Observer
+	Metrics          *Metrics
+	Logger           klog.Logger
+	Now              func() time.Time
 }
 
 // Owner carries calls to the node's own upstream. It alone decides what the
@@ -66,56 +88,98 @@
 	o.inFlight.Wait()
 }
 
-// ServeHTTP carries one forwarded call.
+// ServeHTTP carries one call that another node forwarded.
 func (o *Owner) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	o.inFlight.Add(1)
 	defer o.inFlight.Done()
 	now := o.d.Now()
-	left, err := remaining(r.Header, config.MaxTimeout)
-	if err != nil || left <= 0 {
-		o.refuse(w, ReasonDeadline)
-		return
+	left, stated, err := remaining(r.Header)
+	if !stated {
+		left = config.MaxTimeout
 	}
-	f, err := parseForwarded(r.Header.Get(headerCall))
-	if err != nil || f.owner != o.d.Self().Instance() {
-		o.refuse(w, ReasonWrongOwner)
+	f, parseErr := parseForwarded(r.Header.Get(headerCall))
+	if err != nil || parseErr != nil {
+		o.write(w, o.refused(ReasonWrongOwner))
 		return
 	}
-	p := &ownerCall{owner: o, writer: w, request: r, forwarded: f, arrived: now, deadline: now.Add(left)}
-	ctx, cancel := context.WithDeadline(r.Context(), p.deadline)
+	ctx, cancel := context.WithDeadline(r.Context(), now.Add(left))
 	defer cancel()
-	limitReading(w, r, p.deadline)
+	limitReading(w, r, now.Add(left))
 	if streamsIn(r) {
 		allowEarlyAnswer(w)
 		defer drain(w, r)
 	}
-	p.pass(ctx)
+	response, verdict := o.carry(ctx, r, f, left)
+	if verdict.Outcome != Answered {
+		o.write(w, verdict)
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := copyAnswer(w, response); err != nil {
+		o.d.Metrics.count(Verdict{Outcome: Unknown, Reason: ReasonBroken})
+		// The reader must see a broken answer, never a shorter whole one.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// carry takes one call to the upstream. When the verdict is Answered, the
+// answer's body must be closed.
+func (o *Owner) carry(ctx context.Context, r *http.Request, f forwarded, left time.Duration) (*http.Response, Verdict) {
+	now := o.d.Now()
+	p := &ownerCall{owner: o, request: r, forwarded: f, arrived: now, deadline: now.Add(left)}
+	response, verdict := p.pass(ctx)
+	o.d.Metrics.count(verdict)
+	if verdict.Outcome == Answered {
+		response.Header[headerLoad] = []string{o.load()}
+	}
+	return response, verdict
 }
 
 // ownerCall is one call on its way through its owner.
 type ownerCall struct {
 	owner     *Owner
-	writer    http.ResponseWriter
 	request   *http.Request
 	forwarded forwarded
 	arrived   time.Time
 	deadline  time.Time
+	// process is the upstream process that the call is meant for.
+	process upstream.ID
 }
 
-func (p *ownerCall) pass(ctx context.Context) {
+func (p *ownerCall) pass(ctx context.Context) (*http.Response, Verdict) {
+	o := p.owner
+	switch {
+	case !p.deadline.After(p.arrived):
+		return nil, o.refused(ReasonDeadline)
+	case p.forwarded.owner != o.d.Self().Instance():
+		return nil, o.refused(ReasonWrongOwner)
+	}
 	if verdict := p.claim(); verdict.Outcome != Answered {
-		p.owner.answerVerdict(p.writer, verdict)
-		return
+		return nil, verdict
 	}
-	ticket, reason := p.enter(ctx)
-	if reason != "" {
-		if overloaded(reason) {
+	ticket, verdict := p.enter(ctx)
+	if verdict.Outcome != Answered {
+		if overloaded(verdict.Reason) {
 			p.observe(true)
 		}
-		p.owner.refuse(p.writer, reason)
-		return
+		return nil, verdict
+	}
+	// The process may have left while the call waited.
+	if !p.findProcess() {
+		o.d.Gate.Leave(o.d.Now(), ticket, admission.Refused)
+		return nil, o.refused(ReasonNoUpstream)
 	}
-	p.run(ctx, ticket)
+	return p.run(ctx, ticket)
+}
+
+func (p *ownerCall) findProcess() bool {
+	process := p.owner.d.Process
+	if process == nil {
+		return true
+	}
+	id, ok := process.ID(p.owner.d.Now())
+	p.process = id
+	return ok
 }
 
 // overloaded reports whether a refusal speaks against the upstream's version:
@@ -126,7 +190,7 @@
 
 // claim makes sure that a call that may run once only did not arrive before.
 func (p *ownerCall) claim() Verdict {
-	if repeatable(p.request.Method) {
+	if p.forwarded.repeatable {
 		return Verdict{Outcome: Answered}
 	}
 	switch p.owner.d.Record.Claim(p.arrived, p.forwarded.identity()) {
@@ -139,17 +203,21 @@
 	}
 }
 
-// enter waits for a slot. The reason is empty when the call was admitted.
-func (p *ownerCall) enter(ctx context.Context) (*admission.Ticket, Reason) {
-	gate := p.owner.d.Gate
+// enter waits for a slot.
+func (p *ownerCall) enter(ctx context.Context) (*admission.Ticket, Verdict) {
+	o := p.owner
+	gate := o.d.Gate
 	ticket := gate.Enter(p.arrived, admission.Request{
 		Class:    p.forwarded.class,
 		Caller:   p.forwarded.caller,
 		Deadline: p.deadline,
+		Rank:     p.forwarded.rank,
+		Route:    p.forwarded.route,
+		Useful:   p.arrived.Add(p.forwarded.useful),
 	})
 	select {
 	case <-ticket.Decided():
-		return ticket, Reason(ticket.Reason())
+		return ticket, p.admitted(ticket)
 	default:
 	}
 	timer := time.NewTimer(gate.LongestWait(p.forwarded.class))
@@ -157,62 +225,150 @@
 	select {
 	case <-ticket.Decided():
 	case <-timer.C:
-		gate.Expire(p.owner.d.Now())
+		gate.Expire(o.d.Now())
 		<-ticket.Decided()
 	case <-ctx.Done():
 		if !gate.Abandon(ticket) && ticket.Reason() == "" {
-			gate.Leave(p.owner.d.Now(), ticket, admission.Done)
-			return nil, Reason(admission.ReasonAbandoned)
+			gate.Leave(o.d.Now(), ticket, admission.Refused)
+			return nil, o.refused(Reason(admission.ReasonAbandoned))
 		}
 	}
-	return ticket, Reason(ticket.Reason())
+	return ticket, p.admitted(ticket)
 }
 
-func (p *ownerCall) run(ctx context.Context, ticket *admission.Ticket) {
+func (p *ownerCall) admitted(ticket *admission.Ticket) Verdict {
+	if ticket.Reason() == "" {
+		return Verdict{Outcome: Answered}
+	}
+	verdict := p.owner.refused(Reason(ticket.Reason()))
+	verdict.RetryAfter = ticket.RetryAfter()
+	return verdict
+}
+
+// _answerKeptMost is the longest answer that is read whole before it is passed
+// on, so that one that breaks off can still be told as such.
+const _answerKeptMost = 256 << 10
+
+// _refusalTextMost is how much of a refusal's text is read.
+const _refusalTextMost = 4 << 10
+
+func (p *ownerCall) run(ctx context.Context, ticket *admission.Ticket) (*http.Response, Verdict) {
 	o := p.owner
 	result := admission.Done
-	defer func() { o.d.Gate.Leave(o.d.Now(), ticket, result) }()
+	leave := sync.OnceFunc(func() { o.d.Gate.Leave(o.d.Now(), ticket, result) })
 	var track tracker
-	response, err := o.d.Transport.RoundTrip(o.upstreamRequest(track.context(ctx), p.request, p.deadline))
+	response, err := o.d.Transport.RoundTrip(p.upstreamRequest(track.context(ctx)))
 	if err != nil {
-		verdict := failure(ctx, &track)
+		verdict := p.failed(ctx, &track)
+		result = admission.Refused
 		if verdict.Reason == ReasonDeadline {
 			result = admission.Shed
 		}
-		p.observe(verdict.Reason != ReasonCanceled)
-		o.answerVerdict(p.writer, verdict)
-		return
+		leave()
+		return nil, verdict
 	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests {
-		result = admission.Shed
+	if o.d.Process != nil {
+		o.d.Process.Answered(o.d.Now(), p.process)
+	}
+	if verdict := p.judge(response); verdict.Outcome != Answered {
+		// Reading the short text of a refusal keeps the connection of use.
+		_, _ = io.CopyN(io.Discard, response.Body, _refusalTextMost)
+		_ = response.Body.Close()
+		result = admission.Refused
+		if verdict.Outcome == NotRun {
+			result = admission.Shed
+		}
+		leave()
+		return nil, verdict
+	}
+	took := o.d.Now().Sub(p.arrived)
+	if err := keepAnswer(response); err != nil {
+		_ = response.Body.Close()
+		p.observe(true)
+		leave()
+		return nil, failure(ctx, &track)
+	}
+	p.record(took, response.StatusCode >= http.StatusInternalServerError)
+	if _, kept := response.Body.(*keptBody); kept {
+		leave()
+		return response, Verdict{Outcome: Answered}
+	}
+	response.Body = &releasedBody{ReadCloser: response.Body, release: leave}
+	return response, Verdict{Outcome: Answered}
+}
+
+// failed returns the verdict on a call that the upstream did not answer.
+func (p *ownerCall) failed(ctx context.Context, track *tracker) Verdict {
+	o := p.owner
+	verdict := failure(ctx, track)
+	if verdict.Reason == ReasonUnreachable && o.d.Process != nil {
+		o.d.Process.Lost(o.d.Now(), p.process)
 	}
-	p.answer(response)
+	p.observe(verdict.Reason != ReasonCanceled)
+	o.d.Logger.Info("Upstream did not answer", "call", p.forwarded.id, "process", p.process,
+		"outcome", verdict.Outcome.String(), "reason", verdict.Reason)
+	return verdict
 }
 
-func (p *ownerCall) answer(response *http.Response) {
+// judge returns the verdict on an answer by its headers.
+func (p *ownerCall) judge(response *http.Response) Verdict {
 	o := p.owner
 	switch {
-	case response.Header.Get(HeaderOutcome) == NotRun.String():
+	case o.d.Dialect.NotRun(response.StatusCode, response.Header):
 		p.observe(true)
-		o.answerVerdict(p.writer, Verdict{Outcome: NotRun, Reason: ReasonUpstreamRefused})
-		return
-	case !endIsKnown(response):
+		return Verdict{Outcome: NotRun, Reason: ReasonUpstreamRefused}
+	case !endIsKnown(response) && !o.d.UnboundedAnswers:
 		p.observe(true)
-		o.answerVerdict(p.writer, Verdict{Outcome: Unknown, Reason: ReasonUnbounded})
-		return
+		return Verdict{Outcome: Unknown, Reason: ReasonUnbounded}
+	default:
+		return Verdict{Outcome: Answered}
 	}
-	failed := response.StatusCode >= http.StatusInternalServerError
-	took := o.d.Now().Sub(p.arrived)
-	p.writer.Header()[headerLoad] = []string{o.load()}
-	if err := copyAnswer(p.writer, response); err != nil {
-		p.record(took, failed || !errors.Is(err, errWriteAnswer))
-		o.d.Metrics.count(Verdict{Outcome: Unknown, Reason: ReasonBroken})
-		// The reader must see a broken answer, never a shorter whole one.
-		panic(http.ErrAbortHandler)
+}
+
+// keptBody is an answer's body that was read whole.
+type keptBody struct{ *bytes.Reader }
+
+// Close does nothing.
+func (*keptBody) Close() error { return nil }
+
+// releasedBody gives its slot back when it is closed.
+type releasedBody struct {
+	io.ReadCloser
+	release func()
+}
+
+// Close closes the body and gives the slot back.
+func (b *releasedBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.release()
+	return err
+}
+
+// keepAnswer reads an answer whole if it is short. One in chunks is passed on
+// as it comes, since it may be a slow stream.
+func keepAnswer(response *http.Response) error {
+	if len(response.TransferEncoding) > 0 || response.ContentLength > _answerKeptMost {
+		return nil
 	}
-	p.record(took, failed)
-	o.d.Metrics.count(Verdict{Outcome: Answered})
+	bounded := response.ContentLength >= 0
+	body, err := io.ReadAll(io.LimitReader(response.Body, _answerKeptMost+1))
+	if err != nil {
+		return errors.Wrap(err, "read answer")
+	}
+	if len(body) > _answerKeptMost {
+		response.Body = struct {
+			io.Reader
+			io.Closer
+		}{io.MultiReader(bytes.NewReader(body), response.Body), response.Body}
+		return nil
+	}
+	_ = response.Body.Close()
+	if !bounded {
+		response.ContentLength = int64(len(body))
+		response.Header.Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	response.Body = &keptBody{bytes.NewReader(body)}
+	return nil
 }
 
 // observe records a call that got no answer.
@@ -224,26 +380,41 @@
 	p.owner.d.Observer.Observe(p.owner.d.Now(), evidence.Observation{Route: p.forwarded.route, Failed: failed, Took: took})
 }
 
-func (o *Owner) refuse(w http.ResponseWriter, reason Reason) {
-	o.answerVerdict(w, Verdict{Outcome: NotRun, Reason: reason})
+func (o *Owner) refused(reason Reason) Verdict {
+	return Verdict{Outcome: NotRun, Reason: reason}
 }
 
-func (o *Owner) answerVerdict(w http.ResponseWriter, v Verdict) {
-	o.d.Metrics.count(v)
-	w.Header().Set(headerLoad, o.load())
-	v.write(w, v.status())
+// write answers another node with a verdict, in the product's own headers.
+func (o *Owner) write(w http.ResponseWriter, v Verdict) {
+	w.Header()[headerLoad] = []string{o.load()}
+	if v.RetryAfter > 0 {
+		w.Header()[headerRetryMillis] = []string{formatMillis(v.RetryAfter)}
+	}
+	v.write(w, NativeDialect{})
 }
 
+// load returns the upstream's load as it stands in headerLoad: calls, slots
+// and the average milliseconds of a call.
 func (o *Owner) load() string {
 	load := o.d.Gate.Load()
-	return strconv.Itoa(load.Running + load.Waiting)
+	return strconv.Itoa(load.Running+load.Waiting) + " " + strconv.Itoa(load.Limit) + " " + formatMillis(load.Work)
 }
 
 // upstreamRequest returns the request as the upstream gets it.
-func (o *Owner) upstreamRequest(ctx context.Context, r *http.Request, deadline time.Time) *http.Request {
-	out := outgoing(ctx, r, o.upstream, r.Body)
-	out.Header[HeaderRemaining] = []string{formatRemaining(deadline.Sub(o.d.Now()))}
-	out.Header[HeaderDepth] = r.Header[HeaderDepth]
+func (p *ownerCall) upstreamRequest(ctx context.Context) *http.Request {
+	o := p.owner
+	out := outgoing(ctx, p.request, o.upstream, p.request.Body, o.d.Dialect)
+	callDepth, err := depth(p.request.Header)
+	if err != nil {
+		// Only nodes set the depth that an owner reads.
+		o.d.Logger.Info("Depth not read", "call", p.forwarded.id, "cause", err.Error())
+	}
+	o.d.Dialect.ForUpstream(out.Header, UpstreamHeaders{
+		Remaining: p.deadline.Sub(o.d.Now()),
+		Upstream:  p.process,
+		Origin:    p.forwarded.origin,
+		Depth:     callDepth,
+	})
 	return out
 }
 
--- a/config/config.go
+++ b/config/config.go
@@ -73,6 +73,9 @@
 	Weights []Weight
 	// Rollout is the zero value when no rollout is active.
 	Rollout RolloutMark
+	// AnyVersion is set for a service whose versions are known only from its
+	// upstreams; it has no weights.
+	AnyVersion bool
 }
 
 // Version is one upstream version of a service.
@@ -81,10 +84,20 @@
 	Name    VersionName
 }
 
+// Backend gives one service its part of a route's calls.
+type Backend struct {
+	Service ServiceName
+	// Weight is above zero; the parts are in proportion to the weights.
+	Weight uint32
+}
+
 // Route sends the calls of a host and path prefix to a service.
 type Route struct {
-	Name    RouteName
+	Name RouteName
+	// Service takes all calls of a route without backends.
 	Service ServiceName
+	// Backends divides the calls between services; empty for one service.
+	Backends []Backend
 	// Host is empty for a route that takes calls for any host.
 	Host string
 	// PathPrefix begins with a slash.
@@ -92,6 +105,25 @@
 	Class      Class
 	// Timeout is above zero and at most MaxTimeout.
 	Timeout time.Duration
+	// Idempotent calls may be run more than once whatever their method.
+	Idempotent bool
+	// Objective is the time within which an answer is of full use to the
+	// caller; 0 when the route states none.
+	Objective time.Duration
+	// Rank orders the routes of a service by urgency; 0 is the most urgent.
+	Rank uint32
+	// Attempts is how many upstreams a call is sent to at most; 0 for the
+	// system's own limit.
+	Attempts uint32
+}
+
+// Limits bounds what a caller may send and how long it may be idle. A zero
+// field leaves the bound to the node.
+type Limits struct {
+	HeaderBytes   int64
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
 }
 
 // Policy bounds the rollouts of a service.
@@ -138,6 +170,7 @@
 	Versions []Version
 	Routes   []Route
 	Policies []Policy
+	Limits   Limits
 }
 
 // Service returns the service of the given name.
--- a/config/config_check.go
+++ b/config/config_check.go
@@ -82,6 +82,12 @@
 
 func (k *checker) checkWeights(s Service) {
 	field := fmt.Sprintf("services[%s].weights", s.Name)
+	if s.AnyVersion {
+		if len(s.Weights) > 0 {
+			k.faultf(field, "are given for a service of any version; remove them or anyVersion")
+		}
+		return
+	}
 	var sum Share
 	seen := make(map[VersionName]bool, len(s.Weights))
 	for _, w := range s.Weights {
@@ -135,6 +141,14 @@
 	if !k.services[r.Service] {
 		k.faultf(field+".service", "service %q does not exist; add it to services or correct the name", r.Service)
 	}
+	for _, b := range r.Backends {
+		if !k.services[b.Service] {
+			k.faultf(field+".backends", "service %q does not exist; add it to services or correct the name", b.Service)
+		}
+		if b.Weight == 0 {
+			k.faultf(field+".backends", "service %q has the weight 0; give it 1 or more, or leave it out", b.Service)
+		}
+	}
 	if !strings.HasPrefix(r.PathPrefix, "/") {
 		k.faultf(field+".pathPrefix", "%q does not begin with '/'; begin it with '/'", r.PathPrefix)
 	}
@@ -147,6 +161,9 @@
 	if r.Timeout <= 0 || r.Timeout > MaxTimeout {
 		k.faultf(field+".timeout", "%s is out of range; use more than 0s and at most %s", r.Timeout, MaxTimeout)
 	}
+	if r.Objective < 0 {
+		k.faultf(field+".objective", "%s is negative; use 0s or more", r.Objective)
+	}
 }
 
 func (k *checker) checkPolicies() {
--- a/config/config_yaml.go
+++ b/config/config_yaml.go
@@ -25,6 +25,20 @@
 type yamlService struct {
 	Name    string       `yaml:"name"`
 	Weights []yamlWeight `yaml:"weights,omitempty"`
+	// AnyVersion takes the versions from the service's upstreams.
+	AnyVersion bool `yaml:"anyVersion,omitempty"`
+}
+
+type yamlBackend struct {
+	Service string `yaml:"service"`
+	Weight  uint32 `yaml:"weight"`
+}
+
+type yamlLimits struct {
+	HeaderBytes   int64  `yaml:"headerBytes,omitempty"`
+	BodyBytes     int64  `yaml:"bodyBytes,omitempty"`
+	HeaderTimeout string `yaml:"headerTimeout,omitempty"`
+	IdleTimeout   string `yaml:"idleTimeout,omitempty"`
 }
 
 type yamlVersion struct {
@@ -33,12 +47,17 @@
 }
 
 type yamlRoute struct {
-	Name       string `yaml:"name"`
-	Service    string `yaml:"service"`
-	Host       string `yaml:"host,omitempty"`
-	PathPrefix string `yaml:"pathPrefix"`
-	Class      string `yaml:"class"`
-	Timeout    string `yaml:"timeout"`
+	Name       string        `yaml:"name"`
+	Service    string        `yaml:"service"`
+	Backends   []yamlBackend `yaml:"backends,omitempty"`
+	Host       string        `yaml:"host,omitempty"`
+	PathPrefix string        `yaml:"pathPrefix"`
+	Class      string        `yaml:"class"`
+	Timeout    string        `yaml:"timeout"`
+	Idempotent bool          `yaml:"idempotent,omitempty"`
+	Objective  string        `yaml:"objective,omitempty"`
+	Rank       uint32        `yaml:"rank,omitempty"`
+	Attempts   uint32        `yaml:"attempts,omitempty"`
 }
 
 type yamlPolicy struct {
@@ -54,6 +73,7 @@
 	Versions []yamlVersion `yaml:"versions"`
 	Routes   []yamlRoute   `yaml:"routes"`
 	Policies []yamlPolicy  `yaml:"policies,omitempty"`
+	Limits   yamlLimits    `yaml:"limits,omitempty"`
 }
 
 // ParseYAML reads a configuration document. Weights that a service leaves out
@@ -103,11 +123,32 @@
 	for _, policy := range wire.Policies {
 		c.Policies = append(c.Policies, p.policy(policy))
 	}
+	c.Limits = Limits{
+		HeaderBytes:   wire.Limits.HeaderBytes,
+		BodyBytes:     wire.Limits.BodyBytes,
+		HeaderTimeout: p.optionalDuration("limits.headerTimeout", wire.Limits.HeaderTimeout),
+		IdleTimeout:   p.optionalDuration("limits.idleTimeout", wire.Limits.IdleTimeout),
+	}
 	return c
 }
 
+// optionalDuration reads a duration that may be left out.
+func (p *yamlParser) optionalDuration(field, text string) time.Duration {
+	if text == "" {
+		return 0
+	}
+	return p.duration(field, text)
+}
+
+func formatOptional(d time.Duration) string {
+	if d == 0 {
+		return ""
+	}
+	return d.String()
+}
+
 func (p *yamlParser) service(wire yamlService) Service {
-	s := Service{Name: ServiceName(wire.Name)}
+	s := Service{Name: ServiceName(wire.Name), AnyVersion: wire.AnyVersion}
 	field := fmt.Sprintf("services[%s].weights", wire.Name)
 	for _, w := range wire.Weights {
 		share := p.share(field, w.Share)
@@ -115,7 +156,7 @@
 	}
 	slices.SortFunc(s.Weights, func(a, b Weight) int { return strings.Compare(string(a.Version), string(b.Version)) })
 	existing, found := p.current.Service(s.Name)
-	if !found {
+	if !found || s.AnyVersion || existing.AnyVersion {
 		return s
 	}
 	s.Rollout = existing.Rollout
@@ -151,6 +192,13 @@
 		Host:       wire.Host,
 		PathPrefix: wire.PathPrefix,
 		Timeout:    p.duration(field+".timeout", wire.Timeout),
+		Idempotent: wire.Idempotent,
+		Objective:  p.optionalDuration(field+".objective", wire.Objective),
+		Rank:       wire.Rank,
+		Attempts:   wire.Attempts,
+	}
+	for _, b := range wire.Backends {
+		r.Backends = append(r.Backends, Backend{Service: ServiceName(b.Service), Weight: b.Weight})
 	}
 	switch wire.Class {
 	case ClassLookup.String():
@@ -186,7 +234,7 @@
 func FormatYAML(c Config) ([]byte, error) {
 	var wire yamlConfig
 	for _, s := range c.Services {
-		service := yamlService{Name: string(s.Name)}
+		service := yamlService{Name: string(s.Name), AnyVersion: s.AnyVersion}
 		for _, w := range s.Weights {
 			service.Weights = append(service.Weights, yamlWeight{Version: string(w.Version), Share: w.Share.Percent()})
 		}
@@ -196,10 +244,13 @@
 		wire.Versions = append(wire.Versions, yamlVersion{Service: string(v.Service), Name: string(v.Name)})
 	}
 	for _, r := range c.Routes {
-		wire.Routes = append(wire.Routes, yamlRoute{
-			Name: string(r.Name), Service: string(r.Service), Host: r.Host,
-			PathPrefix: r.PathPrefix, Class: r.Class.String(), Timeout: r.Timeout.String(),
-		})
+		wire.Routes = append(wire.Routes, formatRoute(r))
+	}
+	wire.Limits = yamlLimits{
+		HeaderBytes:   c.Limits.HeaderBytes,
+		BodyBytes:     c.Limits.BodyBytes,
+		HeaderTimeout: formatOptional(c.Limits.HeaderTimeout),
+		IdleTimeout:   formatOptional(c.Limits.IdleTimeout),
 	}
 	for _, p := range c.Policies {
 		wire.Policies = append(wire.Policies, formatPolicy(p))
@@ -208,6 +259,18 @@
 	return document, errors.Wrap(err, "format configuration")
 }
 
+func formatRoute(r Route) yamlRoute {
+	wire := yamlRoute{
+		Name: string(r.Name), Service: string(r.Service), Host: r.Host,
+		PathPrefix: r.PathPrefix, Class: r.Class.String(), Timeout: r.Timeout.String(),
+		Idempotent: r.Idempotent, Objective: formatOptional(r.Objective), Rank: r.Rank, Attempts: r.Attempts,
+	}
+	for _, b := range r.Backends {
+		wire.Backends = append(wire.Backends, yamlBackend{Service: string(b.Service), Weight: b.Weight})
+	}
+	return wire
+}
+
 func formatPolicy(p Policy) yamlPolicy {
 	calls := p.MinStageCalls
 	wire := yamlPolicy{
--- a/lentilferryd/main.go
+++ b/lentilferryd/main.go
@@ -23,11 +23,14 @@
 	"k8s.io/klog/v2"
 
 	"lentilferry.example/lentilferry/common"
+	"lentilferry.example/lentilferry/common/dial"
 	"lentilferry.example/lentilferry/common/faults"
 	"lentilferry.example/lentilferry/node"
-	"lentilferry.example/lentilferry/operator"
 	"lentilferry.example/lentilferry/objectstore"
+	"lentilferry.example/lentilferry/operator"
+	"lentilferry.example/lentilferry/platform"
 	"lentilferry.example/lentilferry/settings"
+	"lentilferry.example/lentilferry/wire"
 )
 
 // The exit codes.
@@ -41,9 +44,14 @@
 	// _gcPercent lets the small heap grow to several times its live size
 	// before it is collected, which takes pauses out of calls.
 	_gcPercent = 400
-	// _memoryLimit in bytes makes collection more frequent near the 128 MB
-	// that a node may use.
-	_memoryLimit = 96 << 20
+	// _memoryPart is the part of the memory that the process may use from
+	// which on collection becomes more frequent.
+	_memoryPart = 0.75
+	// _platformDial bounds the making of a connection to the platform.
+	_platformDial = time.Second
+	// _platformIdleConns is how many unused connections to it are kept: a
+	// watch and the calls beside it.
+	_platformIdleConns = 4
 )
 
 func main() {
@@ -70,7 +78,7 @@
 	}
 	configureLogs(s.Verbosity)
 	debug.SetGCPercent(_gcPercent)
-	debug.SetMemoryLimit(_memoryLimit)
+	debug.SetMemoryLimit(int64(_memoryPart * float64(s.MemoryLimit)))
 	defer klog.Flush()
 	if err := serve(s); err != nil {
 		fmt.Fprintln(os.Stderr, "lentilferryd:", err)
@@ -96,6 +104,8 @@
 	klog.InitFlags(flags)
 	// The level was checked with the settings.
 	_ = flags.Set("v", strconv.Itoa(verbosity))
+	_ = flags.Set("logtostderr", "false")
+	klog.SetOutput(os.Stdout)
 }
 
 func serve(s settings.Settings) error {
@@ -104,7 +114,7 @@
 	if err != nil {
 		return err
 	}
-	n := node.New(node.Dependencies{
+	d := node.Dependencies{
 		ID:         s.ID,
 		Region:     s.Region,
 		Zone:       s.Zone,
@@ -114,34 +124,90 @@
 		Periods:    s.Periods,
 		Membership: s.Membership,
 		Lease:      s.Lease,
-		Platform: objectstore.NewHTTPClient(objectstore.HTTPDependencies{
-			Base:      s.Platform,
-			Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute},
-		}),
-		Listeners: listeners,
-		Logger:    klog.Background().WithValues("node", s.ID),
-		Now:       time.Now,
+		Listeners:  listeners,
+		Logger:     klog.Background().WithValues("node", s.ID),
+		Now:        time.Now,
 		Operator: func(n *node.Node) (string, http.Handler) {
 			return operator.New(n, time.Now).Handler()
 		},
-	})
+	}
+	if err := connect(ctx, s, &d); err != nil {
+		return err
+	}
+	n := node.New(d)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go stopOnSignal(n, cancel)
-	klog.InfoS("Listening", "node", s.ID, "calls", s.CallAddress, "peers", s.PeerAddress, "admin", s.AdminAddress)
+	go handleSignals(n, cancel)
+	klog.InfoS("Listening", "node", s.ID, "version", common.Version, "calls", s.CallAddress, "peers", s.PeerAddress, "admin", s.AdminAddress)
 	return n.Run(ctx)
 }
 
-// stopOnSignal stops the node as planned on the first signal, and at once on
-// the second.
-func stopOnSignal(n *node.Node, cancel context.CancelFunc) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	<-signals
-	n.Stop()
-	<-signals
-	klog.InfoS("Stopping at once", "cause", "a second signal")
-	cancel()
+// connect gives the node what it needs of the platform that it runs on.
+func connect(ctx context.Context, s settings.Settings, d *node.Dependencies) error {
+	transport := &http.Transport{
+		DialContext:         dial.New(_platformDial).DialContext,
+		MaxIdleConnsPerHost: _platformIdleConns,
+		IdleConnTimeout:     time.Minute,
+	}
+	if !s.Hosted {
+		d.Platform = objectstore.NewHTTPClient(objectstore.HTTPDependencies{Base: s.Platform, Transport: transport})
+		return nil
+	}
+	address, err := netip.ParseAddrPort(s.Platform.Host)
+	if err != nil {
+		return errors.Wrapf(err, "platformUrl: a hosted node needs an IP and port")
+	}
+	client := platform.NewClient(address, transport)
+	d.Platform = client
+	d.Source = platform.NewConfigurations(client, wire.Codec{})
+	d.Dialect = platform.Headers{}
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.AnnounceAddress.String())
+	if err != nil {
+		return errors.Wrap(err, "announceAddress: can't listen; free the port or choose another")
+	}
+	d.Services = append(d.Services, node.Service{
+		Listener: listener,
+		Handler: func(n *node.Node) http.Handler {
+			return platform.NewAnnouncements(n, d.Logger, d.Now)
+		},
+	})
+	return nil
+}
+
+// handleSignals stops the node as planned on the first signal to end, and at
+// once on the second.
+func handleSignals(n *node.Node, cancel context.CancelFunc) {
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	stops := make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	stopping := false
+	for {
+		select {
+		case <-reloads:
+			reload()
+		case <-stops:
+			if stopping {
+				klog.InfoS("Stopping at once", "cause", "a second signal")
+				cancel()
+				return
+			}
+			stopping = true
+			n.Stop()
+		}
+	}
+}
+
+// reload reads the settings again. The verbosity takes effect at once; what
+// else has changed is named and takes effect at the next start.
+func reload() {
+	s, _, err := settings.Load(os.Args[1:])
+	if err != nil {
+		klog.InfoS("Settings not reloaded", "cause", err.Error())
+		return
+	}
+	configureLogs(s.Verbosity)
+	klog.InfoS("Settings reloaded", "verbosity", s.Verbosity, "note", "other settings take effect at the next start")
 }
 
 func listen(ctx context.Context, s settings.Settings) (node.Listeners, error) {
--- /dev/null
+++ b/node/announced.go
@@ -0,0 +1,140 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lentilferry.example/lentilferry/call"
+	"lentilferry.example/lentilferry/membership"
+	"lentilferry.example/lentilferry/upstream"
+)
+
+// Hear takes in what the upstream on this VM announces. Once it returns, an
+// upstream that leaves gets no new call.
+func (n *Node) Hear(now time.Time, a upstream.Announcement) upstream.Result {
+	before, _ := n.announced.Current(now)
+	result := n.announced.Hear(now, a)
+	if result == upstream.Accepted && (before.ID != a.ID || before.Incarnation != a.Incarnation || before.Leaving != a.Leaving) {
+		n.d.Logger.Info("Upstream announced itself", "process", a.ID, "incarnation", a.Incarnation, "sequence", a.Sequence,
+			"version", a.Version, "slots", a.Slots, "leaving", a.Leaving, "coldFor", a.ColdFor)
+	}
+	n.settleUpstream(now)
+	return result
+}
+
+// Depart takes in that the upstream on this VM ends.
+func (n *Node) Depart(now time.Time, id upstream.ID) upstream.Result {
+	result := n.announced.Depart(id)
+	n.d.Logger.Info("Upstream departs", "process", id, "result", result.String())
+	n.settleUpstream(now)
+	return result
+}
+
+// settleUpstream brings the gate and this node's record in line with what is
+// known of the upstream.
+func (n *Node) settleUpstream(now time.Time) {
+	n.settling.Lock()
+	defer n.settling.Unlock()
+	known, state := n.announced.Current(now)
+	if state == upstream.Cold || state == upstream.Ready {
+		n.gate.Resize(known.Slots)
+		n.gate.Resume()
+	} else {
+		n.gate.Drain()
+	}
+	if n.lifecycle.State() != membership.Starting {
+		// The node itself leaves, which its record says already.
+		return
+	}
+	var to membership.State
+	switch {
+	case n.Table() == nil || state == upstream.Absent:
+		to = membership.Starting
+	case state == upstream.Cold:
+		to = membership.Warming
+	case state == upstream.Ready:
+		to = membership.Serving
+	default:
+		to = membership.Draining
+	}
+	before := n.table.Self()
+	if before.State == to && before.Version == known.Version && before.Slots == known.Slots {
+		return
+	}
+	n.d.Logger.Info("Upstream state changed", "process", known.ID, "from", before.State.String(), "to", to.String(), "upstream", state.String())
+	n.table.Announce(now, func(m *membership.Member) {
+		m.State = to
+		m.Version = known.Version
+		m.Slots = known.Slots
+	})
+	select {
+	case n.news <- struct{}{}:
+	default:
+	}
+}
+
+// announcedProcess tells the owner which process of the upstream takes calls.
+type announcedProcess struct{ node *Node }
+
+var _ call.Process = announcedProcess{}
+
+// process returns nil for an upstream that does not announce itself.
+func (n *Node) process() call.Process {
+	if n.announced == nil {
+		return nil
+	}
+	return announcedProcess{node: n}
+}
+
+// ID returns the process that takes calls.
+func (p announcedProcess) ID(now time.Time) (upstream.ID, bool) {
+	known, state := p.node.announced.Current(now)
+	return known.ID, state == upstream.Cold || state == upstream.Ready
+}
+
+// Answered says that the process answered a call.
+func (p announcedProcess) Answered(now time.Time, id upstream.ID) {
+	p.node.announced.Answered(now, id)
+}
+
+// Lost says that the process took no connection.
+func (p announcedProcess) Lost(now time.Time, id upstream.ID) {
+	p.node.announced.Lost()
+	p.node.d.Logger.Info("Upstream takes no connection", "process", id)
+	p.node.settleUpstream(now)
+}
+
+// _tellAtOnce bounds the members that are told at the same time.
+const _tellAtOnce = 8
+
+// tellNews tells all members of a change of this node's record as soon as it
+// happens; gossip reaches those that could not be told.
+func (n *Node) tellNews(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.news:
+		}
+		n.tellAll(ctx)
+	}
+}
+
+func (n *Node) tellAll(ctx context.Context) {
+	places := make(chan struct{}, _tellAtOnce)
+	var telling sync.WaitGroup
+	for _, m := range n.table.Members() {
+		if m.ID == n.d.ID || m.State.Gone() {
+			continue
+		}
+		places <- struct{}{}
+		telling.Go(func() {
+			defer func() { <-places }()
+			if err := n.gossip.Exchange(ctx, m.ID, m.Peer); err != nil {
+				n.d.Logger.V(1).Info("Member not told", "member", m.ID, "cause", err.Error())
+			}
+		})
+	}
+	telling.Wait()
+}
--- a/node/node.go
+++ b/node/node.go
@@ -29,12 +29,13 @@
 	"lentilferry.example/lentilferry/lease"
 	"lentilferry.example/lentilferry/lifecycle"
 	"lentilferry.example/lentilferry/membership"
-	"lentilferry.example/lentilferry/peer"
 	"lentilferry.example/lentilferry/objectstore"
+	"lentilferry.example/lentilferry/peer"
 	"lentilferry.example/lentilferry/quarantine"
 	"lentilferry.example/lentilferry/retry"
 	"lentilferry.example/lentilferry/revision"
 	"lentilferry.example/lentilferry/routing"
+	"lentilferry.example/lentilferry/upstream"
 	"lentilferry.example/lentilferry/wire"
 )
 
@@ -58,6 +59,24 @@
 	Slots int
 	// Warmup is how long the upstream is cold after it came up.
 	Warmup time.Duration
+	// Announced is set for an upstream that announces itself to the node,
+	// which then learns the version, the slots and the state from it.
+	Announced bool
+}
+
+// Source gives a node the configurations that an operator writes elsewhere
+// than in the product's own head object.
+type Source interface {
+	// Next waits for a configuration that was not seen yet, and returns nil
+	// when none came in time. The error is revision.ErrInvalid for one that
+	// can't be used.
+	Next(ctx context.Context) (*revision.Snapshot, error)
+}
+
+// Service is a further socket of the node and what it serves.
+type Service struct {
+	Listener net.Listener
+	Handler  func(*Node) http.Handler
 }
 
 // Periods are the times between a node's repeated steps.
@@ -74,6 +93,9 @@
 	Health time.Duration
 	// DrainAtMost bounds the wait for calls in flight at a planned stop.
 	DrainAtMost time.Duration
+	// LeaveNotice is how long calls are still taken at a planned stop, while
+	// callers and peers learn of it.
+	LeaveNotice time.Duration
 	// LeaveOutAfter is how long a zone may be silent before what is in force
 	// is told without it.
 	LeaveOutAfter time.Duration
@@ -88,6 +110,7 @@
 		Control:       time.Second,
 		Health:        time.Second,
 		DrainAtMost:   config.MaxTimeout,
+		LeaveNotice:   500 * time.Millisecond,
 		LeaveOutAfter: time.Minute,
 	}
 }
@@ -115,9 +138,14 @@
 	Membership membership.Timing
 	Lease      lease.Timing
 	Platform   Platform
-	Listeners  Listeners
-	Logger     klog.Logger
-	Now        func() time.Time
+	// Source is nil where the configuration is the platform's head object.
+	Source    Source
+	Dialect   call.Dialect
+	Listeners Listeners
+	// Services are served beside the listeners.
+	Services []Service
+	Logger   klog.Logger
+	Now      func() time.Time
 	// Operator serves operators; built by the caller from the node's parts.
 	Operator func(*Node) (pattern string, handler http.Handler)
 }
@@ -138,13 +166,17 @@
 	controller  *control.Controller
 	operations  *control.Operations
 	lifecycle   *lifecycle.Lifecycle
-	gate        *admission.Gate
-	owner       *call.Owner
-	ingress     *call.Ingress
-	pool        *routing.Pool
-	routes      atomic.Pointer[routing.Table]
-	vars        *expvar.Map
-	control     *meter.Meter
+	// announced is nil unless the upstream announces itself.
+	announced *upstream.Registry
+	// settling is held while the record is brought in line with it.
+	settling sync.Mutex
+	gate     *admission.Gate
+	owner    *call.Owner
+	ingress  *call.Ingress
+	pool     *routing.Pool
+	routes   atomic.Pointer[routing.Table]
+	vars     *expvar.Map
+	control  *meter.Meter
 	// told is what tellApplied last told, and whom.
 	told told
 	// reports numbers this node's reports.
@@ -162,8 +194,10 @@
 	// toUpstream carries calls and checks to the node's own upstream.
 	toUpstream http.RoundTripper
 	// transports are closed when the node ends.
-	transports []*http.Transport
+	transports []interface{ CloseIdleConnections() }
 
+	// news holds a token after this node's record has changed.
+	news    chan struct{}
 	drained chan struct{}
 	stop    sync.Once
 }
@@ -172,6 +206,9 @@
 	// _identitiesMost bounds the identities that are remembered at once: at
 	// 2,000 commands a second for the longest timeout.
 	_identitiesMost = 240_000
+	// _idleConnsMost bounds the unused connections to an upstream whose slots
+	// are not known yet.
+	_idleConnsMost = 64
 	// _readHeaderTimeout bounds the reading of a call's headers.
 	_readHeaderTimeout = 10 * time.Second
 	// _callerIdle is how long an unused connection from a caller is kept.
@@ -184,6 +221,9 @@
 
 // New returns a node that does not run yet.
 func New(d Dependencies) *Node {
+	if d.Dialect == nil {
+		d.Dialect = call.NativeDialect{}
+	}
 	now := d.Now()
 	seed := uint64(now.UnixNano())
 	n := &Node{
@@ -198,9 +238,13 @@
 		control:     &meter.Meter{},
 		detectors:   make(map[string]*evidence.Detector),
 		rnd:         rand.New(rand.NewPCG(seed, 1)),
+		news:        make(chan struct{}, 1),
 		drained:     make(chan struct{}),
 		vars:        new(expvar.Map),
 	}
+	if d.Upstream.Announced {
+		n.announced = upstream.New(d.Upstream.Service, d.Upstream.Address)
+	}
 	n.table = membership.New(d.Membership, n.self(now), rand.New(rand.NewPCG(seed, 2)), now)
 	n.replica = distribution.New(wire.Codec{}, n.holder)
 	n.committer = revision.NewCommitter(d.Platform, wire.Codec{}, n.holder)
@@ -243,24 +287,37 @@
 
 func (n *Node) buildCalls(now time.Time) {
 	slots := max(1, n.d.Upstream.Slots)
-	toUpstream, toPeers := call.NewUpstreamTransport(slots), call.NewForwardTransport()
+	idle := slots
+	if n.announced != nil {
+		idle = _idleConnsMost
+	}
+	toUpstream, toPeers := call.NewUpstreamClient(idle, n.d.Dialect), call.NewForwardTransport()
 	n.toUpstream = toUpstream
 	n.transports = append(n.transports, toUpstream, toPeers)
 	n.gate = admission.New(admission.DefaultLimits(slots))
 	n.owner = call.NewOwner(call.OwnerDependencies{
 		Self:      n.table.Self,
 		Upstream:  n.d.Upstream.Address,
+		Process:   n.process(),
 		Transport: toUpstream,
-		Gate:      n.gate,
-		Record:    identity.New(now, config.MaxTimeout, _identitiesMost),
-		Observer:  n.recorder,
-		Metrics:   call.NewMetrics(n.vars, "owner"),
-		Now:       n.d.Now,
+		Dialect:   n.d.Dialect,
+		// An upstream that announces itself may end answers with their connection.
+		UnboundedAnswers: n.announced != nil,
+		Gate:             n.gate,
+		Record:           identity.New(now, config.MaxTimeout, _identitiesMost),
+		Observer:         n.recorder,
+		Metrics:          call.NewMetrics(n.vars, "owner"),
+		Logger:           n.d.Logger,
+		Now:              n.d.Now,
 	})
 	n.ingress = call.NewIngress(call.IngressDependencies{
 		Routes:    n,
 		Endpoints: n.pool,
 		Transport: toPeers,
+		Local:     n.owner,
+		Self:      n.table.Self,
+		Origin:    n.d.Upstream.Service,
+		Dialect:   n.d.Dialect,
 		Budgets:   retry.NewBudgets[config.ServiceName](retry.DefaultLimits()),
 		Metrics:   call.NewMetrics(n.vars, "ingress"),
 		Logger:    n.d.Logger,
@@ -297,9 +354,10 @@
 	return n.routes.Load()
 }
 
-// Excluded returns the version that is quarantined for a service here.
-func (n *Node) Excluded(s config.Service) config.VersionName {
-	return n.quarantines.Excluded(n.d.Zone, s)
+// Version returns the version of the service that the route's next call goes
+// to, empty for any.
+func (n *Node) Version(t *routing.Target, s config.Service) config.VersionName {
+	return t.Version(s, n.quarantines.Excluded(n.d.Zone, s))
 }
 
 // Operations returns what operators can ask for.
@@ -361,8 +419,14 @@
 	loop(p.Health, n.checkUpstream)
 	loop(p.Evidence, n.reportEvidence)
 	loop(p.Evidence, n.tellApplied)
-	loop(p.Control, n.controlStep)
 	group.Go(func() error { n.keepFresh(ctx); return nil })
+	group.Go(func() error { n.tellNews(ctx); return nil })
+	if n.d.Source != nil {
+		group.Go(func() error { n.followSource(ctx); return nil })
+		group.Go(func() error { n.followRosters(ctx); return nil })
+		return
+	}
+	loop(p.Control, n.controlStep)
 	group.Go(func() error { n.watchHead(ctx); return nil })
 }
 
--- a/node/servers.go
+++ b/node/servers.go
@@ -27,11 +27,15 @@
 	peers := n.server(n.peerHandler())
 	peers.ConnContext = meter.ConnContext
 	admin := n.server(n.adminHandler())
-	return []listening{
+	all := []listening{
 		{server: calls, listener: n.d.Listeners.Calls},
 		{server: peers, listener: meter.Listener{Listener: n.d.Listeners.Peers}},
 		{server: admin, listener: n.d.Listeners.Admin},
 	}
+	for _, s := range n.d.Services {
+		all = append(all, listening{server: n.server(s.Handler(n)), listener: s.Listener})
+	}
+	return all
 }
 
 // server returns a server for HTTP/1 and for HTTP/2 without TLS.
@@ -111,9 +115,6 @@
 	_leavingTold = 6
 	// _closeTimeout bounds the closing of the servers after the drain.
 	_closeTimeout = 5 * time.Second
-	// _leaveNotice is how long the ingress goes on while callers and peers
-	// learn that the node leaves.
-	_leaveNotice = 500 * time.Millisecond
 )
 
 // shutdown waits for a planned stop or the end of the context.
@@ -145,11 +146,12 @@
 	n.lifecycle.Drain()
 	n.announce(membership.Draining)
 	n.gate.Drain()
+	n.ingress.CloseConnections()
 	n.tellLeaving(ctx)
 	finished := make(chan struct{})
 	go func() {
 		defer close(finished)
-		time.Sleep(_leaveNotice)
+		time.Sleep(n.d.Periods.LeaveNotice)
 		n.owner.Wait()
 		n.ingress.Wait()
 	}()
--- /dev/null
+++ b/node/source.go
@@ -0,0 +1,74 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
+
+	"lentilferry.example/lentilferry/revision"
+)
+
+const (
+	// _sourcePause is the least time between two reads of the source, so that
+	// changes in quick succession are taken together.
+	_sourcePause = 300 * time.Millisecond
+	// _sourcePauseMost bounds the pause after failed reads: a change is to be
+	// in force within 2.5 s, also right after an outage.
+	_sourcePauseMost = time.Second
+)
+
+// followSource takes over each newer configuration that the source gives.
+func (n *Node) followSource(ctx context.Context) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = _firstPause
+	pause.MaxInterval = _sourcePauseMost
+	lost := false
+	for ctx.Err() == nil {
+		snapshot, err := n.d.Source.Next(ctx)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case errors.Is(err, revision.ErrInvalid):
+			n.d.Logger.Info("Refused configuration", "inForce", n.holder.Number(), "cause", err.Error())
+		case err != nil:
+			if !lost {
+				n.d.Logger.Info("Configuration source lost", "inForce", n.holder.Number(), "cause", err.Error())
+			}
+			lost = true
+			wait(ctx, pause.NextBackOff())
+			continue
+		}
+		if lost {
+			n.d.Logger.Info("Configuration source regained", "inForce", n.holder.Number())
+		}
+		lost = false
+		pause.Reset()
+		if snapshot != nil {
+			n.take(snapshot)
+		}
+		wait(ctx, _sourcePause)
+	}
+}
+
+func (n *Node) take(snapshot *revision.Snapshot) {
+	result := n.holder.Offer(snapshot)
+	n.d.Logger.Info("Configuration read", "revision", snapshot.Manifest.Number, "applied", result == revision.Applied,
+		"inForce", n.holder.Number(), "routes", len(snapshot.Config.Routes))
+}
+
+// followRosters keeps this zone's first contacts and looks for members that
+// are not known yet.
+func (n *Node) followRosters(ctx context.Context) {
+	var roster rosterKeeper
+	for ctx.Err() == nil {
+		if err := n.keepRoster(ctx, &roster); err != nil {
+			n.d.Logger.Info("Rosters not read", "cause", err.Error())
+			roster.pause = 0
+			wait(ctx, _rosterFirst)
+			continue
+		}
+		wait(ctx, roster.pause)
+	}
+}
--- a/node/steps.go
+++ b/node/steps.go
@@ -131,6 +131,10 @@
 
 // checkUpstream checks the upstream's health and announces what follows.
 func (n *Node) checkUpstream(ctx context.Context) {
+	if n.announced != nil {
+		n.settleUpstream(n.d.Now())
+		return
+	}
 	healthy := n.d.Upstream.Service == "" || n.probeUpstream(ctx) == nil
 	before := n.lifecycle.State()
 	state := n.lifecycle.Tick(n.d.Now(), lifecycle.Check{
--- a/quickstart/mesh.go
+++ b/quickstart/mesh.go
@@ -19,8 +19,8 @@
 	"lentilferry.example/lentilferry/lease"
 	"lentilferry.example/lentilferry/membership"
 	"lentilferry.example/lentilferry/node"
-	"lentilferry.example/lentilferry/operator"
 	"lentilferry.example/lentilferry/objectstore"
+	"lentilferry.example/lentilferry/operator"
 )
 
 // The parts of the mesh.
--- a/revision/revision.go
+++ b/revision/revision.go
@@ -39,8 +39,12 @@
 	KindVersion
 	KindRoute
 	KindPolicy
+	KindLimits
 )
 
+// LimitsName is the name of the only resource of KindLimits.
+const LimitsName = "limits"
+
 // String returns the kind's name.
 func (k ResourceKind) String() string {
 	switch k {
@@ -52,6 +56,8 @@
 		return "route"
 	case KindPolicy:
 		return "policy"
+	case KindLimits:
+		return "limits"
 	default:
 		return "unknown"
 	}
@@ -188,11 +194,6 @@
 // Next returns the snapshot that follows base when its configuration is
 // replaced. The error is ErrInvalid.
 func Next(codec Codec, base *Snapshot, c config.Config, operation, message string, now time.Time) (*Snapshot, error) {
-	resources, err := codec.EncodeConfig(c)
-	if err != nil {
-		return nil, errors.Mark(err, ErrInvalid)
-	}
-	slices.SortFunc(resources, func(a, b Resource) int { return a.Key.Compare(b.Key) })
 	m := Manifest{Number: 1, Operation: operation, Message: message, CommittedAt: now}
 	if base != nil {
 		m.Number = base.Manifest.Number + 1
@@ -202,6 +203,24 @@
 	if extra := len(m.RecentOperations) - MaxRecentOperations; extra > 0 {
 		m.RecentOperations = m.RecentOperations[extra:]
 	}
+	return build(codec, m, c)
+}
+
+// At returns the snapshot of a configuration whose number was given by an outside store.
+// The same configuration under the same number gives the same snapshot on
+// every node. The error is ErrInvalid.
+func At(codec Codec, number uint64, c config.Config, operation string) (*Snapshot, error) {
+	m := Manifest{Number: number, Operation: operation}
+	return build(codec, m, c)
+}
+
+// build completes a manifest with the resources of a configuration.
+func build(codec Codec, m Manifest, c config.Config) (*Snapshot, error) {
+	resources, err := codec.EncodeConfig(c)
+	if err != nil {
+		return nil, errors.Mark(err, ErrInvalid)
+	}
+	slices.SortFunc(resources, func(a, b Resource) int { return a.Key.Compare(b.Key) })
 	values := make(map[Hash][]byte, len(resources))
 	for _, r := range resources {
 		hash := HashOf(r.Value)
--- /dev/null
+++ b/routing/endpoint.go
@@ -0,0 +1,175 @@
+package routing
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lentilferry.example/lentilferry/membership"
+)
+
+const (
+	// _loadLifetime is how long a reported load counts; it fades linearly.
+	_loadLifetime = time.Second
+	// _coldFactor is how much slower a warming upstream is taken to be.
+	_coldFactor = 2
+	// _ejectAfter is how many failures in a row eject an upstream.
+	_ejectAfter = 5
+	// _ejectFor is how long an upstream is ejected at first.
+	_ejectFor = 5 * time.Second
+	// _ejectMost bounds how long an upstream is ejected.
+	_ejectMost = time.Minute
+	// _unreachedFor is how long an upstream whose node did not take a
+	// connection is ejected at first, and _unreachedMost the longest.
+	_unreachedFor  = 500 * time.Millisecond
+	_unreachedMost = 4 * time.Second
+	// _usualWork is how long a call is taken to run before any was seen.
+	_usualWork = 100 * time.Millisecond
+	// _failureWeight is the weight of the newest call in the rate of failures.
+	_failureWeight = 0.1
+	// _failureDelay is the delay that an upstream which fails each call counts
+	// for: what a caller waits for a second try.
+	_failureDelay = 2 * time.Second
+	// _evenDelay spreads calls between idle upstreams: what a full one counts
+	// for more than an idle one before any call has to wait.
+	_evenDelay = 20 * time.Millisecond
+)
+
+// Load is what the owner of an upstream reports with an answer.
+type Load struct {
+	// Calls is how many calls run or wait at the upstream.
+	Calls int
+	// Slots is how many calls run at once; 0 when the owner did not say.
+	Slots int
+	// Work is how long a call runs on average; 0 when the owner did not say.
+	Work time.Duration
+}
+
+// Endpoint is an upstream as one sender sees it.
+type Endpoint struct {
+	Member membership.Member
+	// Address is the text of the member's peer address.
+	Address string
+	// Owner names the member in forwarded calls.
+	Owner string
+	// penalty is what the way to the upstream counts for.
+	penalty time.Duration
+
+	// inFlight counts this sender's calls that have no outcome yet.
+	inFlight atomic.Int64
+	// begun counts this sender's calls since the last report.
+	begun atomic.Int64
+
+	mu       sync.Mutex
+	load     Load
+	loadedAt time.Time
+	// failureRate is the moving part of the calls that failed, from 0 to 1; it
+	// counts for less the longer ago the last failure was.
+	failureRate float64
+	failedAt    time.Time
+	// failures counts failures in a row.
+	failures int
+	// ejections counts ejections in a row.
+	ejections    int
+	ejectedUntil time.Time
+}
+
+// Begin counts a call to the upstream. The call's End must follow.
+func (e *Endpoint) Begin() {
+	e.inFlight.Add(1)
+	e.begun.Add(1)
+}
+
+// End takes the call out of the count.
+func (e *Endpoint) End() {
+	e.inFlight.Add(-1)
+}
+
+// Loaded takes in the load that the upstream's node reported.
+func (e *Endpoint) Loaded(now time.Time, load Load) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if load.Work == 0 {
+		load.Work = e.load.Work
+	}
+	e.load = load
+	e.loadedAt = now
+	e.begun.Store(0)
+}
+
+// Succeeded ends a row of failures.
+func (e *Endpoint) Succeeded() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.failures = 0
+	e.ejections = 0
+	e.failureRate *= 1 - _failureWeight
+}
+
+// FailedCall counts a failure; several in a row eject the upstream for a
+// while.
+func (e *Endpoint) FailedCall(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.failureRate += _failureWeight * (1 - e.failureRate)
+	e.failedAt = now
+	e.failures++
+	if e.failures < _ejectAfter {
+		return
+	}
+	e.failures = 0
+	e.eject(now, _ejectFor, _ejectMost)
+}
+
+// Unreached ejects an upstream whose node took no connection.
+func (e *Endpoint) Unreached(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.eject(now, _unreachedFor, _unreachedMost)
+}
+
+func (e *Endpoint) eject(now time.Time, first, most time.Duration) {
+	e.ejectedUntil = now.Add(min(most, first<<min(e.ejections, 8)))
+	e.ejections++
+}
+
+func (e *Endpoint) ejected(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return now.Before(e.ejectedUntil)
+}
+
+// Expected is the time after which a call that is sent now is expected to be
+// answered.
+type Expected struct {
+	// Wait is the part spent waiting for a slot.
+	Wait time.Duration
+	// Total is the whole, with what the way there counts for.
+	Total time.Duration
+}
+
+// expected estimates how long a call that is sent now takes.
+func (e *Endpoint) expected(now time.Time) Expected {
+	e.mu.Lock()
+	load, loadedAt := e.load, e.loadedAt
+	failureRate := e.failureRate * max(0, 1-float64(now.Sub(e.failedAt))/float64(_ejectFor))
+	e.mu.Unlock()
+	work := load.Work
+	if work == 0 {
+		work = _usualWork
+	}
+	if e.Member.State == membership.Warming {
+		work *= _coldFactor
+	}
+	slots := float64(max(1, e.Member.Slots))
+	if load.Slots > 0 {
+		slots = float64(load.Slots)
+	}
+	freshness := max(0, 1-float64(now.Sub(loadedAt))/float64(_loadLifetime))
+	calls := max(float64(load.Calls)*freshness+float64(e.begun.Load())*freshness, float64(e.inFlight.Load()))
+	wait := time.Duration(max(0, calls+1-slots) / slots * float64(work))
+	total := wait + work + e.penalty +
+		time.Duration(min(1, calls/slots)*float64(_evenDelay)) +
+		time.Duration(failureRate*float64(_failureDelay))
+	return Expected{Wait: wait, Total: total}
+}
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -11,113 +11,15 @@
 )
 
 const (
-	// _loadLifetime is how long a reported load counts; it fades linearly.
-	_loadLifetime = time.Second
-	// _warmth is the part of a warming upstream's slots that is used.
-	_warmth = 0.25
-	// _ejectAfter is how many failures in a row eject an upstream.
-	_ejectAfter = 5
-	// _ejectFor is how long an upstream is ejected at first.
-	_ejectFor = 5 * time.Second
-	// _ejectMost bounds how long an upstream is ejected.
-	_ejectMost = time.Minute
+	// _regionPenalty is what the way to another zone of the region counts for:
+	// how much longer a call waits in the own zone instead.
+	_regionPenalty = 60 * time.Millisecond
+	// _farPenalty is the same for another region: the way takes 20 ms and is
+	// paid by volume.
+	_farPenalty = 300 * time.Millisecond
 )
 
-// Endpoint is an upstream as one sender sees it.
-type Endpoint struct {
-	Member membership.Member
-	// Address is the text of the member's peer address.
-	Address string
-	// Owner names the member in forwarded calls.
-	Owner string
-
-	// inFlight counts this sender's calls that have no outcome yet.
-	inFlight atomic.Int64
-
-	mu sync.Mutex
-	// load is the upstream's last reported load, in calls.
-	load     float64
-	loadedAt time.Time
-	// failures counts failures in a row.
-	failures int
-	// ejections counts ejections in a row.
-	ejections    int
-	ejectedUntil time.Time
-}
-
-// Begin counts a call to the upstream. The call's End must follow.
-func (e *Endpoint) Begin() {
-	e.inFlight.Add(1)
-}
-
-// End takes the call out of the count.
-func (e *Endpoint) End() {
-	e.inFlight.Add(-1)
-}
-
-// Loaded takes in the load that the upstream's node reported: the number of
-// calls that run or wait there.
-func (e *Endpoint) Loaded(now time.Time, calls int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.load = float64(calls)
-	e.loadedAt = now
-}
-
-// Succeeded ends a row of failures.
-func (e *Endpoint) Succeeded() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.failures = 0
-	e.ejections = 0
-}
-
-// FailedCall counts a failure; several in a row eject the upstream for a
-// while.
-func (e *Endpoint) FailedCall(now time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.failures++
-	if e.failures < _ejectAfter {
-		return
-	}
-	e.failures = 0
-	e.ejectedUntil = now.Add(min(_ejectMost, _ejectFor<<min(e.ejections, 8)))
-	e.ejections++
-}
-
-func (e *Endpoint) ejected(now time.Time) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return now.Before(e.ejectedUntil)
-}
-
-// use estimates which part of the upstream's slots is in use.
-func (e *Endpoint) use(now time.Time) float64 {
-	e.mu.Lock()
-	load := e.load * max(0, 1-float64(now.Sub(e.loadedAt))/float64(_loadLifetime))
-	e.mu.Unlock()
-	own := float64(e.inFlight.Load())
-	slots := float64(max(1, e.Member.Slots))
-	if e.Member.State == membership.Warming {
-		slots *= _warmth
-	}
-	return (max(load, own) + own*0.01) / slots
-}
-
-type poolKey struct {
-	service config.ServiceName
-	version config.VersionName
-}
-
-// group holds the upstreams of one version, nearest first.
-type group struct {
-	zone   []*Endpoint
-	region []*Endpoint
-	far    []*Endpoint
-}
-
-type poolView map[poolKey]*group
+type poolView map[config.ServiceName][]*Endpoint
 
 // Pool holds the upstreams that a sender can choose from.
 type Pool struct {
@@ -150,7 +52,7 @@
 		}
 		e := p.endpoint(m)
 		endpoints[m.ID] = e
-		view.add(p, e)
+		view[m.Service] = append(view[m.Service], e)
 	}
 	p.endpoints = endpoints
 	p.view.Store(&view)
@@ -163,7 +65,22 @@
 	if ok && sameUpstream(known.Member, m) {
 		return known
 	}
-	return &Endpoint{Member: m, Address: m.Peer.String(), Owner: m.Instance()}
+	e := &Endpoint{Member: m, Address: m.Peer.String(), Owner: m.Instance(), penalty: p.penalty(m)}
+	if ok && known.Member.Incarnation == m.Incarnation && known.Member.Version == m.Version {
+		e.load, e.loadedAt = known.load, known.loadedAt
+	}
+	return e
+}
+
+func (p *Pool) penalty(m membership.Member) time.Duration {
+	switch {
+	case m.Zone == p.zone:
+		return 0
+	case m.Region == p.region:
+		return _regionPenalty
+	default:
+		return _farPenalty
+	}
 }
 
 func sameUpstream(a, b membership.Member) bool {
@@ -171,80 +88,56 @@
 		a.Service == b.Service && a.Version == b.Version && a.Slots == b.Slots && a.Suspected == b.Suspected
 }
 
-func (v poolView) add(p *Pool, e *Endpoint) {
-	key := poolKey{service: e.Member.Service, version: e.Member.Version}
-	g, ok := v[key]
-	if !ok {
-		g = &group{}
-		v[key] = g
-	}
-	switch {
-	case e.Member.Zone == p.zone:
-		g.zone = append(g.zone, e)
-	case e.Member.Region == p.region:
-		g.region = append(g.region, e)
-	default:
-		g.far = append(g.far, e)
+// Versions returns how many upstreams of each version of a service take work.
+func (p *Pool) Versions(service config.ServiceName) map[config.VersionName]int {
+	versions := make(map[config.VersionName]int)
+	for _, e := range (*p.view.Load())[service] {
+		versions[e.Member.Version]++
 	}
+	return versions
 }
 
-// Choose returns an upstream of the version that is not among the tried ones:
-// the less used of two random ones in the own zone, or in the own region or
-// beyond when those nearer are full. It returns false when there is none.
+// Choose returns the upstream of the version from which an answer is expected
+// soonest, in the own zone where that is about the same, and that is not
+// among the tried ones. An empty version takes any. It returns false when
+// there is none.
 func (p *Pool) Choose(now time.Time, service config.ServiceName, version config.VersionName, tried []*Endpoint) (*Endpoint, bool) {
-	g, ok := (*p.view.Load())[poolKey{service: service, version: version}]
-	if !ok {
+	candidates := kept(now, (*p.view.Load())[service], version, tried)
+	if len(candidates) == 0 {
 		return nil, false
 	}
+	// Starting at a random place takes any of those that are alike.
+	first := rand.IntN(len(candidates))
 	var best *Endpoint
-	for _, near := range [][]*Endpoint{g.zone, g.region, g.far} {
-		candidate := chooseOf(now, near, tried)
-		if candidate == nil {
-			continue
-		}
-		if candidate.use(now) < 1 && !candidate.Member.Suspected {
-			return candidate, true
-		}
-		if best == nil {
-			best = candidate
+	var soonest time.Duration
+	for i := range candidates {
+		e := candidates[(first+i)%len(candidates)]
+		if expected := e.expected(now).Total; best == nil || expected < soonest {
+			best, soonest = e, expected
 		}
 	}
-	return best, best != nil
+	return best, true
 }
 
-// chooseOf takes the less used of two random endpoints. An ejected one is
-// taken only when more than half of them are ejected, so that a zone never
-// ejects all of its upstreams.
-func chooseOf(now time.Time, endpoints, tried []*Endpoint) *Endpoint {
+// kept returns the endpoints to choose from. Ejected and suspected ones are
+// among them only when they are more than half, so that a sender never ejects
+// all upstreams of a version.
+func kept(now time.Time, endpoints []*Endpoint, version config.VersionName, tried []*Endpoint) []*Endpoint {
 	usable := make([]*Endpoint, 0, len(endpoints))
-	kept := make([]*Endpoint, 0, len(endpoints))
+	sound := make([]*Endpoint, 0, len(endpoints))
 	for _, e := range endpoints {
-		if contains(tried, e) {
+		if version != "" && e.Member.Version != version || contains(tried, e) {
 			continue
 		}
 		usable = append(usable, e)
 		if !e.ejected(now) && !e.Member.Suspected {
-			kept = append(kept, e)
+			sound = append(sound, e)
 		}
 	}
-	if 2*len(kept) < len(usable) || len(kept) == 0 {
-		kept = usable
-	}
-	switch len(kept) {
-	case 0:
-		return nil
-	case 1:
-		return kept[0]
-	}
-	i := rand.IntN(len(kept))
-	j := rand.IntN(len(kept) - 1)
-	if j >= i {
-		j++
-	}
-	if kept[j].use(now) < kept[i].use(now) {
-		return kept[j]
+	if 2*len(sound) < len(usable) || len(sound) == 0 {
+		return usable
 	}
-	return kept[i]
+	return sound
 }
 
 func contains(endpoints []*Endpoint, e *Endpoint) bool {
--- a/routing/table.go
+++ b/routing/table.go
@@ -15,9 +15,21 @@
 
 // Target is where a route's calls go.
 type Target struct {
-	Route   config.Route
+	Route config.Route
+	// Service takes the calls of a route without backends.
 	Service config.Service
-	split   *splitter
+	// backends divides the calls between services; empty for one service.
+	backends []backend
+	split    *splitter
+	// between divides the calls between the backends.
+	between *splitter
+}
+
+// backend is one service that a route's calls are divided between.
+type backend struct {
+	service config.Service
+	// until is where the service's part of the unit interval ends.
+	until float64
 }
 
 // Table matches calls to routes. It is built from one configuration and not
@@ -36,13 +48,14 @@
 	for _, s := range c.Services {
 		services[s.Name] = s
 	}
-	splits := before.splits()
+	known := before.targets()
 	for _, r := range c.Routes {
-		split, ok := splits[r.Name]
-		if !ok {
-			split = newSplitter(rnd)
+		target := &Target{Route: r, Service: services[r.Service], backends: backendsOf(r, services)}
+		if old, ok := known[r.Name]; ok {
+			target.split, target.between = old.split, old.between
+		} else {
+			target.split, target.between = newSplitter(rnd), newSplitter(rnd)
 		}
-		target := &Target{Route: r, Service: services[r.Service], split: split}
 		t.byHost[r.Host] = append(t.byHost[r.Host], target)
 	}
 	for _, targets := range t.byHost {
@@ -53,17 +66,30 @@
 	return t
 }
 
-func (t *Table) splits() map[config.RouteName]*splitter {
-	splits := make(map[config.RouteName]*splitter)
+func backendsOf(r config.Route, services map[config.ServiceName]config.Service) []backend {
+	var total, sum float64
+	for _, b := range r.Backends {
+		total += float64(b.Weight)
+	}
+	backends := make([]backend, 0, len(r.Backends))
+	for _, b := range r.Backends {
+		sum += float64(b.Weight)
+		backends = append(backends, backend{service: services[b.Service], until: sum / total})
+	}
+	return backends
+}
+
+func (t *Table) targets() map[config.RouteName]*Target {
+	known := make(map[config.RouteName]*Target)
 	if t == nil {
-		return splits
+		return known
 	}
 	for _, targets := range t.byHost {
 		for _, target := range targets {
-			splits[target.Route.Name] = target.split
+			known[target.Route.Name] = target
 		}
 	}
-	return splits
+	return known
 }
 
 // Match returns the target of a call by its host, with or without a port, and
@@ -96,12 +122,35 @@
 	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
 }
 
-// Version returns the version that the next call on the route goes to. Calls
-// of a version that is excluded go to the rollout's baseline.
-func (t *Target) Version(excluded config.VersionName) config.VersionName {
-	version := t.split.next(t.Service.Weights)
-	if version == excluded && t.Service.Rollout.Candidate == excluded {
-		return t.Service.Rollout.Baseline
+// NextService returns the service that the next call on the route goes to.
+func (t *Target) NextService() config.Service {
+	if len(t.backends) == 0 {
+		return t.Service
+	}
+	point := t.between.point()
+	for _, b := range t.backends {
+		if point < b.until {
+			return b.service
+		}
+	}
+	return t.backends[len(t.backends)-1].service
+}
+
+// Draw returns the next point of the route's sequence in the unit interval, by
+// which a call is given to one of two versions.
+func (t *Target) Draw() float64 {
+	return t.split.point()
+}
+
+// Version returns the version of the service that the next call on the route goes to, empty
+// for any. Calls of a version that is excluded go to the rollout's baseline.
+func (t *Target) Version(service config.Service, excluded config.VersionName) config.VersionName {
+	if len(service.Weights) == 0 {
+		return ""
+	}
+	version := t.split.next(service.Weights)
+	if version == excluded && service.Rollout.Candidate == excluded {
+		return service.Rollout.Baseline
 	}
 	return version
 }
@@ -117,10 +166,15 @@
 	return &splitter{offset: rnd.Float64()}
 }
 
-func (s *splitter) next(weights []config.Weight) config.VersionName {
+// point returns the next point of the sequence, from 0 to below 1.
+func (s *splitter) point() float64 {
 	n := s.count.Add(1)
 	_, point := math.Modf(s.offset + float64(n)*(math.Phi-1))
-	target := config.Share(point * float64(config.FullShare))
+	return point
+}
+
+func (s *splitter) next(weights []config.Weight) config.VersionName {
+	target := config.Share(s.point() * float64(config.FullShare))
 	var sum config.Share
 	for _, w := range weights {
 		sum += w.Share
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -21,6 +22,18 @@
 	"lentilferry.example/lentilferry/node"
 )
 
+// The platform protocols.
+const (
+	_protocolNative = "native"
+	_protocolHosted = "hosted"
+)
+
+// The bounds of the memory limit, in megabytes.
+const (
+	_memoryLeast = 32
+	_memoryMost  = 64 << 10
+)
+
 // EnvPrefix begins the names of the settings in the environment.
 const EnvPrefix = "LENTILFERRYD"
 
@@ -33,11 +46,19 @@
 	PeerAddress  netip.AddrPort
 	AdminAddress netip.AddrPort
 	Platform     *url.URL
-	Seeds        []netip.AddrPort
-	Upstream     node.Upstream
-	Periods      node.Periods
-	Membership   membership.Timing
-	Lease        lease.Timing
+	// Hosted is set where the node runs on the users' platform.
+	Hosted bool
+	// AnnounceAddress is where the upstream announces itself; the zero value
+	// for an upstream that the node checks.
+	AnnounceAddress netip.AddrPort
+	// MemoryLimit is the memory in bytes that the process may use; 0 for the
+	// default.
+	MemoryLimit int64
+	Seeds       []netip.AddrPort
+	Upstream    node.Upstream
+	Periods     node.Periods
+	Membership  membership.Timing
+	Lease       lease.Timing
 	// Verbosity is klog's level.
 	Verbosity int
 	// PrintOnly asks to print the settings and do nothing else.
@@ -74,6 +95,9 @@
 		{name: "peer-address", defaultValue: "127.0.0.1:7902", help: "IP:port that other nodes use"},
 		{name: "admin-address", defaultValue: "127.0.0.1:7903", help: "IP:port for operators, health checks and metrics"},
 		{name: "platform-url", help: "root of the platform's object API"},
+		{name: "platform-protocol", defaultValue: _protocolNative, help: "how the platform speaks: native for the product's own object API, hosted for the users' platform"},
+		{name: "announce-address", help: "IP:port at which a hosted node's upstream announces itself"},
+		{name: "memory-limit", defaultValue: "128", help: "megabytes of memory that the process may use"},
 		{name: "seeds", help: "peer addresses to ask first, for starts while the platform is down"},
 		{name: "service", help: "service of this VM's upstream; empty for a node without one"},
 		{name: "version", help: "version of this VM's upstream"},
@@ -86,6 +110,7 @@
 		{name: "evidence-period", defaultValue: p.Evidence.String(), help: "time between reports while a rollout is under way"},
 		{name: "control-period", defaultValue: p.Control.String(), help: "time between a controller's steps"},
 		{name: "health-period", defaultValue: p.Health.String(), help: "time between checks of the upstream"},
+		{name: "leave-notice", defaultValue: p.LeaveNotice.String(), help: "time for which a planned stop still takes calls"},
 		{name: "drain-timeout", defaultValue: p.DrainAtMost.String(), help: "longest wait for calls in flight at a planned stop"},
 		{name: "leave-out-after", defaultValue: p.LeaveOutAfter.String(), help: "silence after which a zone no longer holds rollouts back"},
 		{name: "suspicion-timeout", defaultValue: m.Suspicion.String(), help: "time that a suspected member has to answer"},
@@ -182,6 +207,7 @@
 		AdminAddress: r.address("admin-address"),
 		Platform:     r.url("platform-url"),
 		Seeds:        r.addresses("seeds"),
+		Hosted:       r.choice("platform-protocol", _protocolNative, _protocolHosted) == _protocolHosted,
 		Upstream:     r.upstream(),
 		Periods: node.Periods{
 			Gossip:        r.duration("gossip-period"),
@@ -190,12 +216,18 @@
 			Control:       r.duration("control-period"),
 			Health:        r.duration("health-period"),
 			DrainAtMost:   r.duration("drain-timeout"),
+			LeaveNotice:   r.duration("leave-notice"),
 			LeaveOutAfter: r.duration("leave-out-after"),
 		},
 		Membership: membership.DefaultTiming(),
 		Lease:      lease.DefaultTiming(),
 		Verbosity:  r.number("verbosity", 0, 9),
 	}
+	if s.Hosted {
+		s.AnnounceAddress = r.address("announce-address")
+		s.Upstream.Announced = true
+	}
+	s.MemoryLimit = int64(r.number("memory-limit", _memoryLeast, _memoryMost)) << 20
 	s.Membership.Suspicion = r.duration("suspicion-timeout")
 	s.Lease = leaseTiming(r.duration("lease-lifetime"))
 	r.distinct(s)
@@ -293,6 +325,14 @@
 	return n
 }
 
+func (r *reader) choice(flag string, choices ...string) string {
+	text := r.text(flag)
+	if !slices.Contains(choices, text) {
+		r.faultf(flag, "%q is not known; use one of %s", text, strings.Join(choices, ", "))
+	}
+	return text
+}
+
 // _mostSlots bounds the calls that an upstream runs at once.
 const _mostSlots = 10_000
 
@@ -310,7 +350,9 @@
 		return u
 	}
 	u.Service = config.ServiceName(r.name("service"))
-	u.Version = config.VersionName(r.name("version"))
+	if r.text("platform-protocol") != _protocolHosted {
+		u.Version = config.VersionName(r.name("version"))
+	}
 	u.Address = r.address("upstream-address")
 	u.HealthPath = r.text("upstream-health-path")
 	if u.HealthPath != "" && !strings.HasPrefix(u.HealthPath, "/") {
@@ -330,6 +372,7 @@
 		{"peer-address", s.PeerAddress},
 		{"admin-address", s.AdminAddress},
 		{"upstream-address", s.Upstream.Address},
+		{"announce-address", s.AnnounceAddress},
 	} {
 		if !socket.address.IsValid() {
 			continue
--- /dev/null
+++ b/upstream/registry_test.go
@@ -0,0 +1,97 @@
+package upstream
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var (
+	_start   = time.Unix(1_800_000_000, 0)
+	_address = netip.MustParseAddrPort("10.0.0.7:8080")
+)
+
+func announcement(change func(*Announcement)) Announcement {
+	a := Announcement{ID: "u1", Service: "desk", Version: "v1", Address: _address, Slots: 9, Sequence: 1, Incarnation: 100}
+	if change != nil {
+		change(&a)
+	}
+	return a
+}
+
+func stateAt(r *Registry, now time.Time) State {
+	_, state := r.Current(now)
+	return state
+}
+
+func TestColdThenReadyThenSilent(t *testing.T) {
+	r := New("desk", _address)
+	assert.Equal(t, stateAt(r, _start), Absent)
+	assert.Equal(t, r.Hear(_start, announcement(func(a *Announcement) { a.ColdFor = time.Second })), Accepted)
+	assert.Equal(t, stateAt(r, _start), Cold)
+	assert.Equal(t, stateAt(r, _start.Add(time.Second)), Ready)
+	r.Answered(_start.Add(time.Second), "u1")
+	assert.Equal(t, stateAt(r, _start.Add(_silentAfter)), Ready)
+	assert.Equal(t, stateAt(r, _start.Add(_silentAfter+time.Second)), Absent)
+}
+
+// An incarnation that has said that it leaves takes no work again, whatever
+// arrives late.
+func TestLeavingIsFinal(t *testing.T) {
+	r := New("desk", _address)
+	r.Hear(_start, announcement(nil))
+	assert.Equal(t, r.Hear(_start, announcement(func(a *Announcement) { a.Sequence, a.Leaving = 3, true })), Accepted)
+	assert.Equal(t, r.Hear(_start, announcement(func(a *Announcement) { a.Sequence = 2 })), Stale)
+	assert.Equal(t, stateAt(r, _start), Leaving)
+	assert.Equal(t, r.Hear(_start, announcement(func(a *Announcement) { a.Sequence = 4 })), Accepted)
+	assert.Equal(t, stateAt(r, _start), Leaving)
+	// Its next incarnation, under the same ID, is another one.
+	assert.Equal(t, r.Hear(_start, announcement(func(a *Announcement) { a.Incarnation = 200 })), Accepted)
+	assert.Equal(t, stateAt(r, _start), Ready)
+	// What was delayed from the one before changes nothing.
+	assert.Equal(t, r.Hear(_start, announcement(func(a *Announcement) { a.Sequence, a.Leaving = 9, true })), Stale)
+	assert.Equal(t, stateAt(r, _start), Ready)
+}
+
+// An announcement that overtook the one that says leaving binds all the same.
+func TestLateLeavingBinds(t *testing.T) {
+	r := New("desk", _address)
+	r.Hear(_start, announcement(func(a *Announcement) { a.Sequence = 5 }))
+	assert.Equal(t, r.Hear(_start, announcement(func(a *Announcement) { a.Sequence, a.Leaving = 4, true })), Stale)
+	assert.Equal(t, stateAt(r, _start), Leaving)
+}
+
+func TestDepart(t *testing.T) {
+	r := New("desk", _address)
+	r.Hear(_start, announcement(nil))
+	assert.Equal(t, r.Depart("other"), Stale)
+	assert.Equal(t, stateAt(r, _start), Ready)
+	assert.Equal(t, r.Depart("u1"), Accepted)
+	assert.Equal(t, stateAt(r, _start), Leaving)
+}
+
+func TestForeignAnnouncements(t *testing.T) {
+	r := New("desk", _address)
+	r.Hear(_start, announcement(nil))
+	for name, change := range map[string]func(*Announcement){
+		"no ID":           func(a *Announcement) { a.ID = "" },
+		"no slots":        func(a *Announcement) { a.Slots = 0 },
+		"another service": func(a *Announcement) { a.Service = "other" },
+		"another address": func(a *Announcement) { a.Address = netip.MustParseAddrPort("10.0.0.8:8080") },
+	} {
+		foreign := announcement(func(a *Announcement) { a.Sequence, a.Leaving = 9, true; change(a) })
+		assert.Equal(t, r.Hear(_start, foreign), Foreign, name)
+		assert.Equal(t, stateAt(r, _start), Ready, name)
+	}
+}
+
+func TestLostUntilHeardAgain(t *testing.T) {
+	r := New("desk", _address)
+	r.Hear(_start, announcement(nil))
+	r.Lost()
+	assert.Equal(t, stateAt(r, _start), Absent)
+	r.Hear(_start, announcement(func(a *Announcement) { a.Sequence = 2 }))
+	assert.Equal(t, stateAt(r, _start), Ready)
+}
--- a/wire/config.go
+++ b/wire/config.go
@@ -47,11 +47,32 @@
 	for _, p := range c.Policies {
 		add(revision.KindPolicy, string(p.Service), &lentilferryv1.Resource{Resource: &lentilferryv1.Resource_Policy{Policy: encodePolicy(p)}})
 	}
+	if c.Limits != (config.Limits{}) {
+		add(revision.KindLimits, revision.LimitsName, &lentilferryv1.Resource{Resource: &lentilferryv1.Resource_Limits{Limits: encodeLimits(c.Limits)}})
+	}
 	return resources, failure
 }
 
+func encodeLimits(l config.Limits) *lentilferryv1.Limits {
+	return &lentilferryv1.Limits{
+		HeaderBytes:        l.HeaderBytes,
+		BodyBytes:          l.BodyBytes,
+		HeaderTimeoutNanos: int64(l.HeaderTimeout),
+		IdleTimeoutNanos:   int64(l.IdleTimeout),
+	}
+}
+
+func decodeLimits(message *lentilferryv1.Limits) config.Limits {
+	return config.Limits{
+		HeaderBytes:   message.GetHeaderBytes(),
+		BodyBytes:     message.GetBodyBytes(),
+		HeaderTimeout: time.Duration(message.GetHeaderTimeoutNanos()),
+		IdleTimeout:   time.Duration(message.GetIdleTimeoutNanos()),
+	}
+}
+
 func encodeService(s config.Service) *lentilferryv1.Service {
-	message := &lentilferryv1.Service{Name: string(s.Name)}
+	message := &lentilferryv1.Service{Name: string(s.Name), AnyVersion: s.AnyVersion}
 	for _, w := range s.Weights {
 		message.Weights = append(message.Weights, &lentilferryv1.Weight{Version: string(w.Version), Share: uint32(w.Share)})
 	}
@@ -66,14 +87,22 @@
 }
 
 func encodeRoute(r config.Route) *lentilferryv1.Route {
-	return &lentilferryv1.Route{
-		Name:         string(r.Name),
-		Service:      string(r.Service),
-		Host:         r.Host,
-		PathPrefix:   r.PathPrefix,
-		Class:        lentilferryv1.Class(r.Class),
-		TimeoutNanos: int64(r.Timeout),
+	message := &lentilferryv1.Route{
+		Name:           string(r.Name),
+		Service:        string(r.Service),
+		Host:           r.Host,
+		PathPrefix:     r.PathPrefix,
+		Class:          lentilferryv1.Class(r.Class),
+		TimeoutNanos:   int64(r.Timeout),
+		Idempotent:     r.Idempotent,
+		ObjectiveNanos: int64(r.Objective),
+		Rank:           r.Rank,
+		Attempts:       r.Attempts,
+	}
+	for _, b := range r.Backends {
+		message.Backends = append(message.Backends, &lentilferryv1.Backend{Service: string(b.Service), Weight: b.Weight})
 	}
+	return message
 }
 
 func encodePolicy(p config.Policy) *lentilferryv1.Policy {
@@ -123,13 +152,16 @@
 	case *lentilferryv1.Resource_Policy:
 		c.Policies = append(c.Policies, decodePolicy(r.Policy))
 		return revision.EntryKey{Kind: revision.KindPolicy, Name: r.Policy.GetService()}, true
+	case *lentilferryv1.Resource_Limits:
+		c.Limits = decodeLimits(r.Limits)
+		return revision.EntryKey{Kind: revision.KindLimits, Name: revision.LimitsName}, true
 	default:
 		return revision.EntryKey{}, false
 	}
 }
 
 func decodeService(message *lentilferryv1.Service) config.Service {
-	s := config.Service{Name: config.ServiceName(message.GetName())}
+	s := config.Service{Name: config.ServiceName(message.GetName()), AnyVersion: message.GetAnyVersion()}
 	for _, w := range message.GetWeights() {
 		s.Weights = append(s.Weights, config.Weight{Version: config.VersionName(w.GetVersion()), Share: config.Share(w.GetShare())})
 	}
@@ -144,14 +176,22 @@
 }
 
 func decodeRoute(message *lentilferryv1.Route) config.Route {
-	return config.Route{
+	r := config.Route{
 		Name:       config.RouteName(message.GetName()),
 		Service:    config.ServiceName(message.GetService()),
 		Host:       message.GetHost(),
 		PathPrefix: message.GetPathPrefix(),
 		Class:      config.Class(message.GetClass()),
 		Timeout:    time.Duration(message.GetTimeoutNanos()),
+		Idempotent: message.GetIdempotent(),
+		Objective:  time.Duration(message.GetObjectiveNanos()),
+		Rank:       message.GetRank(),
+		Attempts:   message.GetAttempts(),
+	}
+	for _, b := range message.GetBackends() {
+		r.Backends = append(r.Backends, config.Backend{Service: config.ServiceName(b.GetService()), Weight: b.GetWeight()})
 	}
+	return r
 }
 
 func decodePolicy(message *lentilferryv1.Policy) config.Policy {
