move: Carry out orders to move a service to another version

Cause: a version that an operator had ordered was chosen like any other, so that a bad one got whatever its upstreams could take. Change: a book of orders that every node follows, a pilot for each order that raises the share by calls and time left and takes a bad version back, owners that refuse a version without a share, and take-over when the pilot is silent.

--- a/call/ingress.go
+++ b/call/ingress.go
@@ -37,14 +37,14 @@
 type Routes interface {
 	// Table returns nil while the node has no configuration.
 	Table() *routing.Table
-	// Version returns the version of the service that the route's next call
-	// goes to, empty for any.
-	Version(t *routing.Target, s config.Service) config.VersionName
+	// Versions returns which versions of the service the route's next call may
+	// go to, and which ones when the first have no upstream.
+	Versions(t *routing.Target, s config.Service) (first, second config.VersionSet)
 }
 
 // Endpoints gives the ingress the upstreams to choose from.
 type Endpoints interface {
-	Choose(now time.Time, service config.ServiceName, version config.VersionName, tried []*routing.Endpoint) (*routing.Endpoint, bool)
+	Choose(now time.Time, service config.ServiceName, versions config.VersionSet, tried []*routing.Endpoint) (*routing.Endpoint, bool)
 }
 
 // IngressDependencies are what an Ingress is built from.
@@ -124,6 +124,7 @@
 	if id == "" || strings.ContainsAny(id, " \t") {
 		id = newID()
 	}
+	first, second := i.d.Routes.Versions(a.target, service)
 	return &ingressCall{
 		ingress:  i,
 		writer:   w,
@@ -135,7 +136,7 @@
 		deadline: now.Add(a.left),
 		depth:    a.depth,
 		body:     newReplayBody(r.Body),
-		version:  i.d.Routes.Version(a.target, service),
+		versions: [2]config.VersionSet{first, second},
 	}
 }
 
@@ -212,7 +213,9 @@
 	deadline time.Time
 	depth    int
 	body     *replayBody
-	version  config.VersionName
+	// versions may take the call: the first, and the second when the first
+	// have no upstream.
+	versions [2]config.VersionSet
 	tried    []*routing.Endpoint
 	// sent counts the upstreams that the call was sent to.
 	sent uint32
@@ -246,7 +249,7 @@
 	if last.Outcome == NotRun {
 		last.RetryAfter = c.retryAfter
 	}
-	c.ingress.d.Logger.Info("Gave up call", "call", c.id, "route", c.target.Route.Name, "version", c.version,
+	c.ingress.d.Logger.Info("Gave up call", "call", c.id, "route", c.target.Route.Name, "versions", c.versions[0].String(),
 		"tried", len(c.tried), "sent", c.sent, "outcome", last.Outcome.String(), "reason", last.Reason, "retryAfter", last.RetryAfter)
 	c.ingress.d.Metrics.count(last)
 	last.write(c.writer, c.ingress.d.Dialect)
@@ -271,16 +274,18 @@
 	return now
 }
 
-// choose returns the upstream for the next try. When the version has none
-// left, the baseline takes the call, never the candidate of a rollout.
+// choose returns the upstream for the next try.
 func (c *ingressCall) choose() (*routing.Endpoint, bool) {
-	service := c.service
 	now := c.ingress.d.Now()
-	endpoint, ok := c.ingress.d.Endpoints.Choose(now, service.Name, c.version, c.tried)
-	if ok || service.Rollout.ID == "" || c.version == service.Rollout.Baseline {
-		return endpoint, ok
+	for i, versions := range c.versions {
+		if i > 0 && versions == c.versions[0] {
+			break
+		}
+		if endpoint, ok := c.ingress.d.Endpoints.Choose(now, c.service.Name, versions, c.tried); ok {
+			return endpoint, true
+		}
 	}
-	return c.ingress.d.Endpoints.Choose(now, service.Name, service.Rollout.Baseline, c.tried)
+	return nil, false
 }
 
 // repeatable reports whether the call may be run more than once.
--- a/call/owner.go
+++ b/call/owner.go
@@ -144,6 +144,8 @@
 	deadline  time.Time
 	// process is the upstream process that the call is meant for.
 	process upstream.ID
+	// admittedAt is when the call got its slot; zero before.
+	admittedAt time.Time
 }
 
 func (p *ownerCall) pass(ctx context.Context) (*http.Response, Verdict) {
@@ -159,7 +161,9 @@
 	}
 	ticket, verdict := p.enter(ctx)
 	if verdict.Outcome != Answered {
-		if overloaded(verdict.Reason) {
+		// The slots of an upstream that announces them are exact: a full queue
+		// says how many calls there are and nothing of the version.
+		if overloaded(verdict.Reason) && o.d.Process == nil {
 			p.observe(true)
 		}
 		return nil, verdict
@@ -255,6 +259,7 @@
 func (p *ownerCall) run(ctx context.Context, ticket *admission.Ticket) (*http.Response, Verdict) {
 	o := p.owner
 	result := admission.Done
+	p.admittedAt = o.d.Now()
 	leave := sync.OnceFunc(func() { o.d.Gate.Leave(o.d.Now(), ticket, result) })
 	var track tracker
 	response, err := o.d.Transport.RoundTrip(p.upstreamRequest(track.context(ctx)))
@@ -281,7 +286,7 @@
 		leave()
 		return nil, verdict
 	}
-	took := o.d.Now().Sub(p.arrived)
+	took := o.d.Now().Sub(p.admittedAt)
 	if err := keepAnswer(response); err != nil {
 		_ = response.Body.Close()
 		p.observe(true)
--- a/call/path_test.go
+++ b/call/path_test.go
@@ -49,8 +49,9 @@
 
 func (r routes) Table() *routing.Table { return r.table }
 
-func (r routes) Version(t *routing.Target, s config.Service) config.VersionName {
-	return t.Version(s, "")
+func (r routes) Versions(t *routing.Target, s config.Service) (first, second config.VersionSet) {
+	first = config.VersionSet{Only: t.Version(s, "")}
+	return first, first
 }
 
 // observer counts what an owner holds against its upstream.
--- a/config/config.go
+++ b/config/config.go
@@ -59,6 +59,32 @@
 	Share   Share
 }
 
+// VersionSet says which versions of a service a call may go to. The zero value
+// allows all.
+type VersionSet struct {
+	// Only is the one version that is allowed; empty for all but Except.
+	Only VersionName
+	// Except is a version that is not allowed; empty for none.
+	Except VersionName
+}
+
+// Allows reports whether a version may take the call.
+func (v VersionSet) Allows(version VersionName) bool {
+	return (v.Only == "" || version == v.Only) && (v.Except == "" || version != v.Except)
+}
+
+// String returns the set as it stands in logs.
+func (v VersionSet) String() string {
+	switch {
+	case v.Only != "":
+		return string(v.Only)
+	case v.Except != "":
+		return "not " + string(v.Except)
+	default:
+		return "any"
+	}
+}
+
 // RolloutMark names the rollout that is moving a service.
 type RolloutMark struct {
 	ID        string
--- a/evidence/collector.go
+++ b/evidence/collector.go
@@ -17,6 +17,12 @@
 	// Sequence grows with each report of the incarnation.
 	Sequence uint64
 	Tallies  []Tally
+	// Applied is the newest revision of the rollout that the node acts on.
+	Applied uint64
+	// Running is how many calls the node's upstream has in flight.
+	Running int
+	// Heard is when the collector took the report in.
+	Heard time.Time
 }
 
 // _reportLifetime is how long the counts of a rollout that nobody reports on
@@ -61,6 +67,7 @@
 	if known, ok := held.latest[who]; ok && known.Sequence >= r.Sequence {
 		return false
 	}
+	r.Heard = now
 	held.latest[who] = r
 	held.heard = now
 	return true
--- a/evidence/detector.go
+++ b/evidence/detector.go
@@ -43,6 +43,8 @@
 type Detector struct {
 	baseline  config.VersionName
 	candidate config.VersionName
+	// slowFactor sets the latency above which a call is slow; see _slowFactor.
+	slowFactor float64
 	// latest holds the newest report of each incarnation of each node.
 	latest map[reporter]Report
 	// candidates holds the candidate's upstreams that have reported calls.
@@ -69,7 +71,8 @@
 	candidate Tally
 	baseline  Tally
 	// byNode holds the candidate's calls by upstream.
-	byNode map[membership.NodeID]Tally
+	byNode     map[membership.NodeID]Tally
+	slowFactor float64
 	// slow is the latency above which a call is slow; 0 until it is known.
 	slow time.Duration
 	// tested is when the last window ended.
@@ -81,12 +84,21 @@
 	return &Detector{
 		baseline:   baseline,
 		candidate:  candidate,
+		slowFactor: _slowFactor,
 		latest:     make(map[reporter]Report),
 		candidates: make(map[membership.NodeID]bool),
 		streams:    make(map[streamKey]*stream),
 	}
 }
 
+// NewUnevenDetector returns a detector for upstreams whose speeds differ by up
+// to the given factor whatever their version.
+func NewUnevenDetector(baseline, candidate config.VersionName, speeds float64) *Detector {
+	d := NewDetector(baseline, candidate)
+	d.slowFactor = max(_slowFactor, speeds)
+	return d
+}
+
 // Observe takes in a zone's reports. A report that was seen before, or is
 // older than one seen, counts for nothing.
 func (d *Detector) Observe(now time.Time, zone membership.Zone, reports []Report) {
@@ -146,9 +158,10 @@
 	s, ok := d.streams[key]
 	if !ok {
 		s = &stream{
-			failures: sequentialTest{most: _mostFailing},
-			slowness: sequentialTest{most: _mostSlow},
-			byNode:   make(map[membership.NodeID]Tally),
+			failures:   sequentialTest{most: _mostFailing},
+			slowness:   sequentialTest{most: _mostSlow},
+			byNode:     make(map[membership.NodeID]Tally),
+			slowFactor: d.slowFactor,
 		}
 		d.streams[key] = s
 	}
@@ -252,7 +265,7 @@
 
 func (s *stream) testSlowness(candidate, baseline Tally) {
 	if s.slow == 0 && s.baseline.Calls >= _slowAfterCalls {
-		s.slow = time.Duration(float64(s.baseline.Latency.Quantile(_slowQuantile))*_slowFactor) + _slowMargin
+		s.slow = time.Duration(float64(s.baseline.Latency.Quantile(_slowQuantile))*s.slowFactor) + _slowMargin
 	}
 	if s.slow == 0 || s.candidate.Calls-candidate.Calls < _coldCalls {
 		return
--- a/evidence/evidence.go
+++ b/evidence/evidence.go
@@ -16,7 +16,7 @@
 	Route config.RouteName
 	// Failed is set for server errors, broken answers and overload.
 	Failed bool
-	// Took is from the arrival of the call to the begin of its answer.
+	// Took is from when the call was sent to the begin of its answer.
 	Took time.Duration
 }
 
--- a/evidence/recorder.go
+++ b/evidence/recorder.go
@@ -18,7 +18,8 @@
 // Recorder counts the calls of one upstream while its service is being moved.
 // It is safe for concurrent use.
 type Recorder struct {
-	version config.VersionName
+	// version is that of the upstream.
+	version atomic.Pointer[config.VersionName]
 	// rollout is the rollout that is counted for, empty while there is none.
 	rollout atomic.Pointer[string]
 	shards  [_recorderShards]recorderShard
@@ -37,18 +38,24 @@
 
 // NewRecorder returns a recorder for an upstream of the version.
 func NewRecorder(version config.VersionName) *Recorder {
-	r := &Recorder{version: version}
+	r := &Recorder{}
+	r.version.Store(&version)
 	none := ""
 	r.rollout.Store(&none)
 	return r
 }
 
-// SetRollout begins to count for a rollout, from zero; the empty one stops.
-func (r *Recorder) SetRollout(id string) {
-	if r.Rollout() == id {
+// SetVersion names the version of the upstream's new process. The counts of
+// another version before it are dropped.
+func (r *Recorder) SetVersion(version config.VersionName) {
+	if *r.version.Load() == version {
 		return
 	}
-	r.rollout.Store(&id)
+	r.version.Store(&version)
+	r.clear()
+}
+
+func (r *Recorder) clear() {
 	for i := range r.shards {
 		s := &r.shards[i]
 		s.mu.Lock()
@@ -57,6 +64,15 @@
 	}
 }
 
+// SetRollout begins to count for a rollout, from zero; the empty one stops.
+func (r *Recorder) SetRollout(id string) {
+	if r.Rollout() == id {
+		return
+	}
+	r.rollout.Store(&id)
+	r.clear()
+}
+
 // Rollout returns the rollout that is counted for.
 func (r *Recorder) Rollout() string {
 	return *r.rollout.Load()
@@ -91,7 +107,7 @@
 		s.mu.Lock()
 		for route, c := range s.counts {
 			tallies = append(tallies, Tally{
-				Key:      Key{Version: r.version, Route: route},
+				Key:      Key{Version: *r.version.Load(), Route: route},
 				Calls:    c.calls,
 				Failures: c.failures,
 				Latency:  latencyOf(c.latency),
--- /dev/null
+++ b/move/pilot.go
@@ -0,0 +1,206 @@
+package move
+
+import (
+	"fmt"
+	"time"
+
+	"lentilferry.example/lentilferry/config"
+	"lentilferry.example/lentilferry/evidence"
+	"lentilferry.example/lentilferry/membership"
+)
+
+// stage is a step on the way to the whole of the calls.
+type stage struct {
+	share config.Share
+	// until is the part of the order's time after which the stage ends.
+	until float64
+}
+
+// _stages keep the calls of a version that turns out bad at any time before
+// the last stage under a tenth of the service's calls: the shares times their
+// parts of the time add up to 0.09.
+var _stages = [...]stage{
+	{share: 500, until: 0.30},
+	{share: 1500, until: 0.55},
+	{share: 3000, until: 0.70},
+	{share: config.FullShare, until: 1},
+}
+
+const (
+	// _leastCalls is how many calls of the candidate a stage takes before the
+	// share grows.
+	_leastCalls = 8
+	// _heardWithin is how long an owner's report counts as current.
+	_heardWithin = 2 * time.Second
+	// _refreshEvery is how often a pilot writes though nothing has changed, so
+	// that others see that it is there.
+	_refreshEvery = 2 * time.Second
+	// _takeOverAfter is the silence after which the next node in line takes
+	// over from a pilot.
+	_takeOverAfter = 3500 * time.Millisecond
+	// _lastStageMost is the part of the order's time before its end by which
+	// the last stage begins, if the version is good so far: the calls at the
+	// old version need a timeout's time to end.
+	_lastStageMost = 0.25
+)
+
+// Inputs are what a pilot knows of an order.
+type Inputs struct {
+	// Verdict is what the evidence says of the candidate.
+	Verdict evidence.Verdict
+	// Upstreams are those of the service that are not gone.
+	Upstreams []Upstream
+}
+
+// Upstream is one upstream of the service, as its owner last reported on it.
+type Upstream struct {
+	Owner   membership.NodeID
+	Version config.VersionName
+	// TakesWork is set for one that takes calls, and Warm for one that is no
+	// longer slow after its start.
+	TakesWork, Warm bool
+	// Heard is when its owner last reported; zero when it never did.
+	Heard time.Time
+	// Applied is the revision of the order that the owner acts on.
+	Applied uint64
+	// Running is how many calls are in flight there.
+	Running int
+}
+
+// candidates returns how many upstreams of the candidate take work, and how
+// many of them are warm.
+func (in Inputs) candidates(candidate config.VersionName) (taking, warm int) {
+	for _, u := range in.Upstreams {
+		if u.Version == candidate && u.TakesWork {
+			taking++
+			if u.Warm {
+				warm++
+			}
+		}
+	}
+	return taking, warm
+}
+
+// silent returns an owner that has not reported of late, empty when all have.
+func (in Inputs) silent(now time.Time) membership.NodeID {
+	for _, u := range in.Upstreams {
+		if u.TakesWork && now.Sub(u.Heard) > _heardWithin {
+			return u.Owner
+		}
+	}
+	return ""
+}
+
+// busy returns an owner of another version that may still take calls or has
+// some in flight, empty when there is none.
+func (in Inputs) busy(now time.Time, candidate config.VersionName, since uint64) membership.NodeID {
+	for _, u := range in.Upstreams {
+		if u.Version == candidate {
+			continue
+		}
+		if u.Applied < since || u.Running > 0 || now.Sub(u.Heard) > _heardWithin {
+			return u.Owner
+		}
+	}
+	return ""
+}
+
+// Pilot decides on one order. It is used by one step at a time.
+type Pilot struct {
+	self membership.NodeID
+	// stage is the index of the present stage, -1 before the first.
+	stage int
+	// stageCalls is what the candidate had been sent when the stage began.
+	stageCalls uint64
+	// lastSince is the order's revision from which on the last stage is in
+	// force; 0 before it.
+	lastSince uint64
+}
+
+// NewPilot returns a pilot that takes up an order where it is.
+func NewPilot(self membership.NodeID, u Under) *Pilot {
+	p := &Pilot{self: self, stage: -1}
+	for i, s := range _stages {
+		if u.Order.Progress.State == Running && u.Order.Progress.Share >= s.share {
+			p.stage = i
+		}
+	}
+	return p
+}
+
+// MayDecide reports whether a node decides on an order: the pilot itself, and
+// one further down the line of successors once the pilot has been silent. The
+// place is the node's in that line, from 0, and -1 for one that is not in it.
+func MayDecide(now time.Time, self membership.NodeID, place int, u Under) bool {
+	if u.Order.Progress.Pilot == self {
+		return true
+	}
+	if place < 0 {
+		return false
+	}
+	wait := time.Duration(place) * _takeOverAfter
+	if u.Order.Progress.Pilot != "" {
+		wait += _takeOverAfter
+	}
+	return now.Sub(u.Seen) >= wait
+}
+
+// Decide returns the order's next progress, and false when nothing is to be
+// written now.
+func (p *Pilot) Decide(now time.Time, u Under, in Inputs) (Progress, bool) {
+	next := u.Order.Progress
+	next.Left = u.Deadline.Sub(now)
+	if next.Pilot != p.self {
+		next.Pilot = p.self
+		next.Epoch++
+	}
+	switch {
+	case in.Verdict.Bad:
+		next.State, next.Share, next.Reason = Reverted, 0, in.Verdict.Reason
+		return next, true
+	case next.State == Ordered:
+		next.State, next.Share, next.Reason = Running, 0, "the version is awaited"
+		return next, true
+	case p.stage == len(_stages)-1:
+		if p.lastSince == 0 {
+			p.lastSince = u.Order.Revision
+		}
+		busy := in.busy(now, next.Candidate, p.lastSince)
+		if busy == "" {
+			next.State, next.Reason = Complete, "no call is left at the version before"
+			return next, true
+		}
+		next.Reason = "calls may be left at " + string(busy)
+	case p.mayRaise(now, u, in, &next):
+		p.stage++
+		p.stageCalls = in.Verdict.CandidateCalls
+		next.Share = _stages[p.stage].share
+		next.Reason = fmt.Sprintf("raised after %d calls, %d of them failed", in.Verdict.CandidateCalls, in.Verdict.CandidateFailures)
+		return next, true
+	}
+	return next, next.Pilot != u.Order.Progress.Pilot || now.Sub(u.Seen) >= _refreshEvery
+}
+
+// mayRaise reports whether the next stage begins; next.Reason says why not.
+func (p *Pilot) mayRaise(now time.Time, u Under, in Inputs, next *Progress) bool {
+	candidates, warm := in.candidates(next.Candidate)
+	silent := in.silent(now)
+	elapsed := float64(now.Sub(u.Started)) / float64(max(u.Order.Duration, time.Millisecond))
+	switch {
+	case candidates == 0:
+		next.Reason = "no upstream of the version takes work"
+		return false
+	case p.stage < 0:
+		next.Reason = "the version's upstreams are cold"
+		return warm > 0
+	case in.Verdict.CandidateCalls-p.stageCalls < _leastCalls && elapsed < 1-_lastStageMost:
+		next.Reason = "too few calls of the version were seen"
+		return false
+	case silent != "" && elapsed < 1-_lastStageMost:
+		next.Reason = "no current report from " + string(silent)
+		return false
+	default:
+		next.Reason = "the stage is observed"
+		return elapsed >= _stages[p.stage].until
+	}
+}
--- a/node/announced.go
+++ b/node/announced.go
@@ -37,12 +37,18 @@
 	n.settling.Lock()
 	defer n.settling.Unlock()
 	known, state := n.announced.Current(now)
-	if state == upstream.Cold || state == upstream.Ready {
+	n.recorder.SetVersion(known.Version)
+	reason, allowed := n.mayServe(known.Version)
+	if allowed && (state == upstream.Cold || state == upstream.Ready) {
 		n.gate.Resize(known.Slots)
 		n.gate.Resume()
 	} else {
 		n.gate.Drain()
 	}
+	if reason != n.keptOut {
+		n.d.Logger.Info("Upstream kept out", "process", known.ID, "version", known.Version, "reason", reason)
+		n.keptOut = reason
+	}
 	if n.lifecycle.State() != membership.Starting {
 		// The node itself leaves, which its record says already.
 		return
--- a/node/node.go
+++ b/node/node.go
@@ -29,6 +29,7 @@
 	"lentilferry.example/lentilferry/lease"
 	"lentilferry.example/lentilferry/lifecycle"
 	"lentilferry.example/lentilferry/membership"
+	"lentilferry.example/lentilferry/move"
 	"lentilferry.example/lentilferry/objectstore"
 	"lentilferry.example/lentilferry/peer"
 	"lentilferry.example/lentilferry/quarantine"
@@ -139,7 +140,9 @@
 	Lease      lease.Timing
 	Platform   Platform
 	// Source is nil where the configuration is the platform's head object.
-	Source    Source
+	Source Source
+	// Orders is nil where versions are moved by the product's own rollouts.
+	Orders    Orders
 	Dialect   call.Dialect
 	Listeners Listeners
 	// Services are served beside the listeners.
@@ -170,13 +173,16 @@
 	announced *upstream.Registry
 	// settling is held while the record is brought in line with it.
 	settling sync.Mutex
-	gate     *admission.Gate
-	owner    *call.Owner
-	ingress  *call.Ingress
-	pool     *routing.Pool
-	routes   atomic.Pointer[routing.Table]
-	vars     *expvar.Map
-	control  *meter.Meter
+	// keptOut is why the upstream takes no calls though it could; empty when
+	// it takes them.
+	keptOut string
+	gate    *admission.Gate
+	owner   *call.Owner
+	ingress *call.Ingress
+	pool    *routing.Pool
+	routes  atomic.Pointer[routing.Table]
+	vars    *expvar.Map
+	control *meter.Meter
 	// told is what tellApplied last told, and whom.
 	told told
 	// reports numbers this node's reports.
@@ -196,6 +202,12 @@
 	// transports are closed when the node ends.
 	transports []interface{ CloseIdleConnections() }
 
+	// book holds the orders to move services between versions.
+	book *move.Book
+	// pilots and moveDetectors hold what this node keeps of each order that it
+	// decides on. Only orderStep uses them.
+	pilots        map[string]*move.Pilot
+	moveDetectors map[string]*evidence.Detector
 	// news holds a token after this node's record has changed.
 	news    chan struct{}
 	drained chan struct{}
@@ -227,20 +239,23 @@
 	now := d.Now()
 	seed := uint64(now.UnixNano())
 	n := &Node{
-		d:           d,
-		holder:      revision.NewHolder(),
-		quarantines: quarantine.New(),
-		collector:   evidence.NewCollector(),
-		recorder:    evidence.NewRecorder(d.Upstream.Version),
-		applied:     membership.NewApplied(),
-		lifecycle:   lifecycle.New(d.Upstream.Warmup),
-		pool:        routing.NewPool(d.Zone, d.Region),
-		control:     &meter.Meter{},
-		detectors:   make(map[string]*evidence.Detector),
-		rnd:         rand.New(rand.NewPCG(seed, 1)),
-		news:        make(chan struct{}, 1),
-		drained:     make(chan struct{}),
-		vars:        new(expvar.Map),
+		d:             d,
+		holder:        revision.NewHolder(),
+		quarantines:   quarantine.New(),
+		collector:     evidence.NewCollector(),
+		recorder:      evidence.NewRecorder(d.Upstream.Version),
+		applied:       membership.NewApplied(),
+		lifecycle:     lifecycle.New(d.Upstream.Warmup),
+		pool:          routing.NewPool(d.Zone, d.Region),
+		control:       &meter.Meter{},
+		detectors:     make(map[string]*evidence.Detector),
+		rnd:           rand.New(rand.NewPCG(seed, 1)),
+		book:          move.NewBook(),
+		pilots:        make(map[string]*move.Pilot),
+		moveDetectors: make(map[string]*evidence.Detector),
+		news:          make(chan struct{}, 1),
+		drained:       make(chan struct{}),
+		vars:          new(expvar.Map),
 	}
 	if d.Upstream.Announced {
 		n.announced = upstream.New(d.Upstream.Service, d.Upstream.Address)
@@ -354,10 +369,18 @@
 	return n.routes.Load()
 }
 
-// Version returns the version of the service that the route's next call goes
-// to, empty for any.
-func (n *Node) Version(t *routing.Target, s config.Service) config.VersionName {
-	return t.Version(s, n.quarantines.Excluded(n.d.Zone, s))
+// Versions returns which versions of the service the route's next call may go
+// to. When those of the first set have no upstream the baseline takes the
+// call, never the candidate of a rollout.
+func (n *Node) Versions(t *routing.Target, s config.Service) (first, second config.VersionSet) {
+	if s.AnyVersion {
+		return n.book.Choose(s.Name, t.Draw())
+	}
+	first = config.VersionSet{Only: t.Version(s, n.quarantines.Excluded(n.d.Zone, s))}
+	if s.Rollout.ID == "" {
+		return first, first
+	}
+	return first, config.VersionSet{Only: s.Rollout.Baseline}
 }
 
 // Operations returns what operators can ask for.
@@ -417,15 +440,19 @@
 	loop(p.Gossip, n.gossip.Round)
 	loop(p.Zones, n.visitZones)
 	loop(p.Health, n.checkUpstream)
-	loop(p.Evidence, n.reportEvidence)
-	loop(p.Evidence, n.tellApplied)
 	group.Go(func() error { n.keepFresh(ctx); return nil })
 	group.Go(func() error { n.tellNews(ctx); return nil })
+	if n.d.Orders != nil {
+		group.Go(func() error { n.followOrders(ctx); return nil })
+		loop(_orderPeriod, n.orderStep)
+	}
 	if n.d.Source != nil {
 		group.Go(func() error { n.followSource(ctx); return nil })
 		group.Go(func() error { n.followRosters(ctx); return nil })
 		return
 	}
+	loop(p.Evidence, n.reportEvidence)
+	loop(p.Evidence, n.tellApplied)
 	loop(p.Control, n.controlStep)
 	group.Go(func() error { n.watchHead(ctx); return nil })
 }
--- a/node/node_integration_test.go
+++ b/node/node_integration_test.go
@@ -315,7 +315,7 @@
 	m.platform.SetFaults(fakeplatform.Faults{Down: true})
 	l := startLoad(a, b)
 	service, _ := a.Holder().Current().Config.Service("desk")
-	m.until("both nodes exclude it", func() bool { return a.Excluded(service) == "v2" && b.Excluded(service) == "v2" })
+	m.until("both nodes exclude it", func() bool { return excludes(a, service) && excludes(b, service) })
 	time.Sleep(100 * time.Millisecond) // Calls that were under way end.
 	met, answered := l.candidate.Load(), l.answered.Load()
 	m.until("calls go on", func() bool { return l.answered.Load() > answered+300 })
@@ -324,6 +324,22 @@
 	assert.Equal(t, l.candidate.Load(), met)
 }
 
+// excludes reports whether a node sends none of the calls of a service that is
+// half moved to the candidate.
+func excludes(r *running, service config.Service) bool {
+	table := r.Table()
+	target, ok := table.Match("", "/")
+	if !ok {
+		return false
+	}
+	for range 50 {
+		if first, _ := r.Versions(target, service); first.Allows(service.Rollout.Candidate) {
+			return false
+		}
+	}
+	return true
+}
+
 // commit changes the service without asking a node.
 func (m *mesh) commit(operation string, change func(*config.Service)) {
 	m.t.Helper()
--- /dev/null
+++ b/node/orders.go
@@ -0,0 +1,245 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cenkalti/backoff/v5"
+
+	"lentilferry.example/lentilferry/config"
+	"lentilferry.example/lentilferry/evidence"
+	"lentilferry.example/lentilferry/membership"
+	"lentilferry.example/lentilferry/move"
+	"lentilferry.example/lentilferry/objectstore"
+	"lentilferry.example/lentilferry/wire"
+)
+
+// Orders gives a node the orders to move services between versions, and keeps
+// what was decided on them.
+type Orders interface {
+	// Next waits for changes and returns the orders that have changed.
+	Next(ctx context.Context) ([]move.Order, error)
+	// Save stores progress with an order that must not have changed since.
+	Save(ctx context.Context, o move.Order, p move.Progress) objectstore.WriteOutcome
+}
+
+const (
+	// _orderPeriod is the time between a node's steps while orders are under
+	// way: a bad version is to be out within seconds.
+	_orderPeriod = 400 * time.Millisecond
+	// _rolePilot is the role of deciding on an order.
+	_rolePilot = "pilot/"
+	// _pilots is how many nodes stand in line for an order.
+	_pilots = 3
+	// _pilotHeard is the silence of a pilot after which reports go to the whole
+	// line.
+	_pilotHeard = 3 * time.Second
+	// _unevenSpeeds is how much slower than others the upstreams of a service
+	// may be for reasons of their VM.
+	_unevenSpeeds = 2.5
+	// _aloneFailures is how many failures of a candidate's upstream make its
+	// own node keep it out, if they are more than one in _alonePart: so few
+	// come together that a pilot which is not reached does no harm.
+	_aloneFailures = 6
+	_alonePart     = 4
+)
+
+// followOrders takes over each change of an order.
+func (n *Node) followOrders(ctx context.Context) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = _firstPause
+	pause.MaxInterval = _sourcePauseMost
+	lost := false
+	for ctx.Err() == nil {
+		orders, err := n.d.Orders.Next(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			if !lost {
+				n.d.Logger.Info("Orders lost", "cause", err.Error())
+			}
+			lost = true
+			wait(ctx, pause.NextBackOff())
+			continue
+		}
+		if lost {
+			n.d.Logger.Info("Orders regained")
+		}
+		lost = false
+		pause.Reset()
+		for _, o := range orders {
+			n.learnOrder(o)
+		}
+	}
+}
+
+func (n *Node) learnOrder(o move.Order) {
+	now := n.d.Now()
+	if !n.book.Learn(now, o) {
+		return
+	}
+	p := o.Progress
+	n.d.Logger.Info("Order learnt", "service", o.Service, "candidate", o.Candidate, "revision", o.Revision,
+		"state", p.State.String(), "share", p.Share.Percent(), "pilot", p.Pilot, "epoch", p.Epoch, "reason", p.Reason)
+	n.settleUpstream(now)
+}
+
+// mayServe reports whether the upstream of this node may take calls by the
+// order for its service, and says why not.
+func (n *Node) mayServe(version config.VersionName) (string, bool) {
+	o, _, ok := n.book.Order(n.d.Upstream.Service)
+	if !ok {
+		return "", true
+	}
+	p := o.Progress
+	isCandidate := version == o.Candidate
+	switch {
+	case isCandidate && (p.State == move.Reverted || p.State == move.Ordered || p.State == move.Running && p.Share == 0):
+		return "the version has no share", false
+	case isCandidate && p.State == move.Running && n.failsAlone():
+		return "the version fails on this upstream", false
+	case !isCandidate && (p.State == move.Complete || p.State == move.Running && p.Share >= config.FullShare):
+		return "the service has moved on", false
+	default:
+		return "", true
+	}
+}
+
+// failsAlone reports whether the upstream's own failures speak against it.
+func (n *Node) failsAlone() bool {
+	var calls, failures uint64
+	for _, t := range n.recorder.Tallies() {
+		calls += t.Calls
+		failures += t.Failures
+	}
+	return failures >= _aloneFailures && failures*_alonePart > calls
+}
+
+// orderStep reports on the orders for this node's service and decides on those
+// that are this node's to decide on.
+func (n *Node) orderStep(ctx context.Context) {
+	underWay := n.book.UnderWay()
+	own := ""
+	for _, u := range underWay {
+		line := membership.Chosen(n.table.Members(), _rolePilot+string(u.Order.Service), _pilots)
+		if u.Order.Service == n.d.Upstream.Service {
+			own = u.Order.ID()
+			n.recorder.SetRollout(own)
+			n.settleUpstream(n.d.Now())
+			n.reportTo(ctx, n.pilotsOf(u, line), u)
+		}
+		n.decide(ctx, u, line)
+	}
+	if own == "" {
+		n.recorder.SetRollout("")
+	}
+	if len(underWay) == 0 && len(n.pilots) > 0 {
+		clear(n.pilots)
+		clear(n.moveDetectors)
+	}
+}
+
+// pilotsOf returns the nodes to report to: the pilot while it is heard of, and
+// else all that may take over.
+func (n *Node) pilotsOf(u move.Under, line []membership.Member) []membership.Member {
+	pilot := u.Order.Progress.Pilot
+	if pilot == "" || n.d.Now().Sub(u.Seen) > _pilotHeard {
+		return line
+	}
+	for _, m := range n.table.Members() {
+		if m.ID == pilot && !m.State.Gone() {
+			return []membership.Member{m}
+		}
+	}
+	return line
+}
+
+func (n *Node) reportTo(ctx context.Context, pilots []membership.Member, u move.Under) {
+	self := n.table.Self()
+	report := evidence.Report{
+		Rollout:     u.Order.ID(),
+		From:        self.ID,
+		Incarnation: self.Incarnation,
+		Sequence:    n.reports.Add(1),
+		Tallies:     n.recorder.Tallies(),
+		Applied:     u.Order.Revision,
+		Running:     n.gate.Load().Running,
+	}
+	for _, pilot := range pilots {
+		if pilot.ID == self.ID {
+			n.collector.Take(n.d.Now(), report)
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, _evidenceTimeout)
+		_, err := n.clients.To(pilot.Peer).Report(ctx, connect.NewRequest(wire.EncodeReport(report)))
+		cancel()
+		if err != nil {
+			n.d.Logger.V(1).Info("Order not reported on", "pilot", pilot.ID, "cause", err.Error())
+		}
+	}
+}
+
+// decide lets this node take an order's next step if that is its turn.
+func (n *Node) decide(ctx context.Context, u move.Under, line []membership.Member) {
+	place := -1
+	for i, m := range line {
+		if m.ID == n.d.ID {
+			place = i
+		}
+	}
+	now := n.d.Now()
+	id := u.Order.ID()
+	if !move.MayDecide(now, n.d.ID, place, u) {
+		delete(n.pilots, id)
+		return
+	}
+	pilot, ok := n.pilots[id]
+	if !ok {
+		pilot = move.NewPilot(n.d.ID, u)
+		n.pilots[id] = pilot
+	}
+	next, write := pilot.Decide(now, u, n.orderInputs(now, u))
+	if !write {
+		return
+	}
+	outcome := n.d.Orders.Save(ctx, u.Order, next)
+	n.d.Logger.Info("Order decided on", "service", u.Order.Service, "candidate", u.Order.Candidate, "revision", u.Order.Revision,
+		"state", next.State.String(), "share", next.Share.Percent(), "left", next.Left, "epoch", next.Epoch, "reason", next.Reason,
+		"result", outcome.Result.String())
+	if outcome.Result != objectstore.Written {
+		// What is stored is learnt by the watch; the next step decides anew.
+		delete(n.pilots, id)
+		return
+	}
+	saved := u.Order
+	saved.Revision = outcome.Version
+	saved.Progress = next
+	n.learnOrder(saved)
+}
+
+func (n *Node) orderInputs(now time.Time, u move.Under) move.Inputs {
+	id := u.Order.ID()
+	detector, ok := n.moveDetectors[id]
+	if !ok {
+		detector = evidence.NewUnevenDetector("", u.Order.Candidate, _unevenSpeeds)
+		n.moveDetectors[id] = detector
+	}
+	reports := n.collector.Reports(id)
+	detector.Observe(now, "", reports)
+	fleet := make([]move.Upstream, 0, len(reports))
+	for _, m := range n.table.Members() {
+		if m.Service != u.Order.Service || m.State.Gone() || m.Version == "" {
+			continue
+		}
+		one := move.Upstream{Owner: m.ID, Version: m.Version, TakesWork: m.State.TakesWork(), Warm: m.State == membership.Serving}
+		for _, r := range reports {
+			if r.From == m.ID && r.Heard.After(one.Heard) {
+				one.Heard, one.Applied, one.Running = r.Heard, r.Applied, r.Running
+			}
+		}
+		fleet = append(fleet, one)
+	}
+	return move.Inputs{Verdict: detector.Verdict(), Upstreams: fleet}
+}
--- a/node/steps.go
+++ b/node/steps.go
@@ -106,6 +106,11 @@
 	if generation := n.table.Generation(); generation != n.pooled || now.Sub(n.pooledAt) >= _poolEvery {
 		n.pooled, n.pooledAt = generation, now
 		n.pool.Update(n.reachable(now))
+		for _, service := range current.Config.Services {
+			if service.AnyVersion {
+				n.book.Serving(service.Name, n.pool.Versions(service.Name))
+			}
+		}
 	}
 }
 
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -97,12 +97,11 @@
 	return versions
 }
 
-// Choose returns the upstream of the version from which an answer is expected
+// Choose returns the upstream of the versions from which an answer is expected
 // soonest, in the own zone where that is about the same, and that is not
-// among the tried ones. An empty version takes any. It returns false when
-// there is none.
-func (p *Pool) Choose(now time.Time, service config.ServiceName, version config.VersionName, tried []*Endpoint) (*Endpoint, bool) {
-	candidates := kept(now, (*p.view.Load())[service], version, tried)
+// among the tried ones. It returns false when there is none.
+func (p *Pool) Choose(now time.Time, service config.ServiceName, versions config.VersionSet, tried []*Endpoint) (*Endpoint, bool) {
+	candidates := kept(now, (*p.view.Load())[service], versions, tried)
 	if len(candidates) == 0 {
 		return nil, false
 	}
@@ -122,11 +121,11 @@
 // kept returns the endpoints to choose from. Ejected and suspected ones are
 // among them only when they are more than half, so that a sender never ejects
 // all upstreams of a version.
-func kept(now time.Time, endpoints []*Endpoint, version config.VersionName, tried []*Endpoint) []*Endpoint {
+func kept(now time.Time, endpoints []*Endpoint, versions config.VersionSet, tried []*Endpoint) []*Endpoint {
 	usable := make([]*Endpoint, 0, len(endpoints))
 	sound := make([]*Endpoint, 0, len(endpoints))
 	for _, e := range endpoints {
-		if version != "" && e.Member.Version != version || contains(tried, e) {
+		if !versions.Allows(e.Member.Version) || contains(tried, e) {
 			continue
 		}
 		usable = append(usable, e)
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -17,6 +17,8 @@
 
 func TestMain(m *testing.M) { testseed.Main(m) }
 
+var _v1 = config.VersionSet{Only: "v1"}
+
 var _start = time.Unix(1_800_000_000, 0)
 
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
@@ -110,7 +112,7 @@
 	counts := make(map[membership.Zone]int)
 	var order []membership.Zone
 	for range 24 {
-		e, ok := p.Choose(_start, "s", "v1", nil)
+		e, ok := p.Choose(_start, "s", _v1, nil)
 		assert.Assert(t, ok)
 		e.Begin()
 		if counts[e.Member.Zone] == 0 {
@@ -130,16 +132,16 @@
 func TestLoadFades(t *testing.T) {
 	p := NewPool("a", "r1")
 	p.Update([]membership.Member{upstream(0, "a", "r1"), upstream(1, "a", "r1")})
-	busy, _ := p.Choose(_start, "s", "v1", nil)
+	busy, _ := p.Choose(_start, "s", _v1, nil)
 	// An upstream that lies about its load is avoided for a while only.
 	busy.Loaded(_start, Load{Calls: 1_000_000})
 	for range 20 {
-		e, _ := p.Choose(_start, "s", "v1", nil)
+		e, _ := p.Choose(_start, "s", _v1, nil)
 		assert.Assert(t, e != busy)
 	}
 	chosen := 0
 	for range 50 {
-		if e, _ := p.Choose(_start.Add(2*time.Second), "s", "v1", nil); e == busy {
+		if e, _ := p.Choose(_start.Add(2*time.Second), "s", _v1, nil); e == busy {
 			chosen++
 		}
 	}
@@ -169,7 +171,7 @@
 		var begun []*Endpoint
 		// Calls that wait make the next one go elsewhere.
 		for range 200 {
-			e, ok := p.Choose(now, "s", "v1", nil)
+			e, ok := p.Choose(now, "s", _v1, nil)
 			assert.Assert(t, ok)
 			e.Begin()
 			begun = append(begun, e)
@@ -199,15 +201,15 @@
 	draining := upstream(0, "a", "r1")
 	draining.State = membership.Draining
 	p.Update([]membership.Member{draining, upstream(1, "a", "r1")})
-	e, ok := p.Choose(_start, "s", "v1", nil)
+	e, ok := p.Choose(_start, "s", _v1, nil)
 	assert.Assert(t, ok)
 	assert.Equal(t, e.Member.ID, membership.NodeID("a1"))
-	_, ok = p.Choose(_start, "s", "v1", []*Endpoint{e})
+	_, ok = p.Choose(_start, "s", _v1, []*Endpoint{e})
 	assert.Assert(t, !ok)
 	// What was learnt of an upstream outlives an update.
 	e.Begin()
 	p.Update([]membership.Member{draining, upstream(1, "a", "r1")})
-	same, _ := p.Choose(_start, "s", "v1", nil)
+	same, _ := p.Choose(_start, "s", _v1, nil)
 	assert.Assert(t, same == e)
 }
 
@@ -222,7 +224,7 @@
 			p.Update(members)
 			b.ReportAllocs()
 			for b.Loop() {
-				p.Choose(_start, "s", "v1", nil)
+				p.Choose(_start, "s", _v1, nil)
 			}
 		})
 	}
--- a/wire/evidence.go
+++ b/wire/evidence.go
@@ -53,6 +53,8 @@
 		Sequence:    r.Sequence,
 		Rollout:     r.Rollout,
 		Tallies:     EncodeTallies(r.Tallies),
+		Applied:     r.Applied,
+		Running:     uint32(r.Running),
 	}
 }
 
@@ -64,6 +66,8 @@
 		Incarnation: message.GetIncarnation(),
 		Sequence:    message.GetSequence(),
 		Tallies:     DecodeTallies(message.GetTallies()),
+		Applied:     message.GetApplied(),
+		Running:     int(message.GetRunning()),
 	}
 }
 
