admission: Order by rank and use, estimate starts; retry: one budget for the fleet

Change: exact limits; turns by rank, by whether the answer is still of full use and by when that ends; refusal when it comes of what will not make it, judged by the work ahead and the more urgent work that goes on coming; a retry budget that slides and is shared.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -4,7 +4,8 @@
 package admission
 
 import (
-	"container/list"
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,37 +41,53 @@
 	Refused
 )
 
-// Limits bounds what waits for an upstream.
+// Limits bounds what runs and waits.
 type Limits struct {
 	// Slots is how many calls the upstream runs at once; above zero.
 	Slots int
-	// Lookup bounds the queue of lookups.
-	Lookup QueueLimits
-	// Command bounds the queue of commands.
-	Command QueueLimits
+	// Queue is how many calls wait at most.
+	Queue int
+	// LookupWait and CommandWait are how long a call of the class waits at
+	// most.
+	LookupWait  time.Duration
+	CommandWait time.Duration
+	// Adaptive makes the gate run fewer calls than there are slots after the
+	// upstream shed some. It is for upstreams that also serve others, or whose
+	// slots are a guess.
+	Adaptive bool
 }
 
-// QueueLimits bounds the queue of one class.
-type QueueLimits struct {
-	// Length is how many calls wait at most.
-	Length int
-	// Wait is how long a call waits at most.
-	Wait time.Duration
-}
+// _queuePerSlot is how many calls wait at most for each slot.
+const _queuePerSlot = 16
 
-// DefaultLimits returns the limits for an upstream with the given slots.
+// DefaultLimits returns the limits for an upstream with about the given slots.
 func DefaultLimits(slots int) Limits {
 	return Limits{
-		Slots:   slots,
-		Lookup:  QueueLimits{Length: 4 * slots, Wait: 500 * time.Millisecond},
-		Command: QueueLimits{Length: 16 * slots, Wait: 10 * time.Second},
+		Slots:       slots,
+		Queue:       _queuePerSlot * slots,
+		LookupWait:  500 * time.Millisecond,
+		CommandWait: 10 * time.Second,
+		Adaptive:    true,
+	}
+}
+
+// ExactLimits returns the limits for an upstream that runs exactly the given
+// number of calls at once and serves nobody else: a call waits as long as its
+// deadline allows.
+func ExactLimits(slots int) Limits {
+	return Limits{
+		Slots:       slots,
+		Queue:       _queuePerSlot * slots,
+		LookupWait:  config.MaxTimeout,
+		CommandWait: config.MaxTimeout,
 	}
 }
 
 // Request is a call that asks for a slot.
 type Request struct {
 	Class config.Class
-	// Caller groups the calls between which slots are shared fairly.
+	// Caller groups the calls between which slots are shared fairly; empty for
+	// calls that are not.
 	Caller   string
 	Deadline time.Time
 	// Route names the calls that take about as long as each other.
@@ -86,38 +103,47 @@
 	_decrease = 0.7
 	// _averageWeight is the weight of the newest call in the average time.
 	_averageWeight = 0.1
-	// _commandsInARow is how many commands go before a waiting lookup.
-	_commandsInARow = 3
+	// _urgentInARow is how many calls go before a waiting one of a lower rank,
+	// so that none starves.
+	_urgentInARow = 4
+	// _hopeless is the part of a call's usual time that must be left for it to
+	// be worth running: calls of a route differ.
+	_hopeless = 0.5
+	// _leastLeft is the part of the slots that is taken to be left for a rank
+	// however much more urgent work comes.
+	_leastLeft = 0.1
+	// _routesMost bounds the routes whose times are remembered.
+	_routesMost = 1_000
 )
 
 // Gate admits the calls of one upstream. It is safe for concurrent use.
 type Gate struct {
+	mu     sync.Mutex
 	limits Limits
-
-	mu sync.Mutex
 	// limit is how many calls run at once; from 1 to Slots.
 	limit float64
 	// running is the number of admitted calls that have not left.
 	running  int
 	draining bool
-	lookups  *queue
-	commands *queue
-	// commandsRow counts the commands admitted since the last lookup.
-	commandsRow int
+	// waiting holds the calls that wait, in the order of their turns.
+	waiting []*Ticket
+	// urgentRow counts the calls admitted since one of a lower rank was.
+	urgentRow int
 	// average is the moving average of the time a call takes; 0 at first.
 	average time.Duration
+	// byRoute holds that average for each route.
+	byRoute map[config.RouteName]time.Duration
 	// decreased is when the limit was last lowered.
 	decreased time.Time
+	// entered counts the calls that came.
+	entered uint64
+	// demand is what is asked of the upstream by urgency.
+	demand demand
 }
 
 // New returns a gate with the given limits.
 func New(limits Limits) *Gate {
-	return &Gate{
-		limits:   limits,
-		limit:    float64(limits.Slots),
-		lookups:  newQueue(limits.Lookup),
-		commands: newQueue(limits.Command),
-	}
+	return &Gate{limits: limits, limit: float64(limits.Slots), byRoute: make(map[config.RouteName]time.Duration), demand: newDemand()}
 }
 
 // Ticket is a call's place at the gate.
@@ -125,11 +151,18 @@
 	request Request
 	entered time.Time
 	started time.Time
+	// work is how long the call was expected to run when it came.
+	work time.Duration
+	// turn is how many calls of the same caller waited when this one came.
+	turn int
+	// number grows with each call.
+	number uint64
+	// late is set for a call that came when it was no longer of full use.
+	late bool
 	// decided is closed when the call was admitted or refused.
 	decided chan struct{}
 	// reason is empty for an admitted call; set before decided is closed.
-	reason  Reason
-	element *list.Element
+	reason Reason
 	// retryAfter is when a refused call would find room; 0 when not known.
 	retryAfter time.Duration
 }
@@ -157,81 +190,148 @@
 	close(t.decided)
 }
 
+// before orders waiting calls: the more urgent first, among these those that
+// can still be of full use, then in turn between callers, and then by when
+// their use ends.
+func (t *Ticket) before(other *Ticket) int {
+	late := func(t *Ticket) int {
+		if t.late {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(
+		cmp.Compare(t.request.Rank, other.request.Rank),
+		cmp.Compare(late(t), late(other)),
+		cmp.Compare(t.turn, other.turn),
+		t.request.Useful.Compare(other.request.Useful),
+		cmp.Compare(t.number, other.number),
+	)
+}
+
 // Enter asks for a slot. An admitted call must Leave; one that gives up while
 // it waits must Abandon.
 func (g *Gate) Enter(now time.Time, request Request) *Ticket {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	ticket := &Ticket{request: request, entered: now, decided: make(chan struct{})}
-	q := g.queue(request.Class)
+	t := &Ticket{request: request, entered: now, work: g.workOf(request.Route), decided: make(chan struct{})}
+	t.late = now.Add(t.work).After(request.Useful)
+	g.entered++
+	t.number = g.entered
+	g.demand.add(now, request.Rank, t.work)
 	switch {
 	case g.draining:
-		ticket.refuse(ReasonDraining)
-	case now.Add(g.average).After(request.Deadline):
-		ticket.refuse(ReasonTooLate)
-	case g.hasSlot() && g.waiting() == 0:
-		g.admit(now, ticket)
-	case q.length >= q.limits.Length:
-		ticket.refuse(ReasonQueueFull)
-	case g.expectedWait(request.Class) > g.patience(now, request):
-		ticket.refuse(ReasonTooLate)
+		t.refuse(ReasonDraining)
+	case now.Add(t.work).After(request.Deadline):
+		t.refuse(ReasonTooLate)
+	case g.hasSlot() && len(g.waiting) == 0:
+		g.admit(now, t)
+	case len(g.waiting) >= g.limits.Queue:
+		t.retryAfter = g.startOf(len(g.waiting))
+		t.refuse(ReasonQueueFull)
 	default:
-		q.push(ticket)
+		g.queue(now, t)
 	}
-	return ticket
+	return t
 }
 
-// patience is how long the call can wait and still be done in time.
-func (g *Gate) patience(now time.Time, request Request) time.Duration {
-	return min(request.Deadline.Sub(now)-g.average, g.queue(request.Class).limits.Wait)
+// queue gives a call its place among those that wait, and refuses those, this
+// one or others behind it, that can no longer be done in time.
+func (g *Gate) queue(now time.Time, t *Ticket) {
+	t.turn = g.waitingOf(t.request.Caller)
+	place, _ := slices.BinarySearchFunc(g.waiting, t, (*Ticket).before)
+	start := g.startAmong(now, place, t.request.Rank)
+	if start > g.longestWait(t.request.Class) || now.Add(start+t.work).After(t.request.Deadline) {
+		t.retryAfter = start
+		t.refuse(ReasonTooLate)
+		return
+	}
+	g.waiting = slices.Insert(g.waiting, place, t)
+	g.prune(now, place+1)
 }
 
-// expectedWait estimates how long a call that is queued now waits.
-func (g *Gate) expectedWait(class config.Class) time.Duration {
-	ahead := g.commands.length
-	if class == config.ClassLookup {
-		ahead = g.lookups.length + min(g.commands.length, _commandsInARow*(g.lookups.length+1))
+// prune refuses the calls from a place on that others went before, and that
+// have no hope left.
+func (g *Gate) prune(now time.Time, from int) {
+	for i := from; i < len(g.waiting); i++ {
+		t := g.waiting[i]
+		start := g.startOf(i)
+		if !now.Add(start + time.Duration(_hopeless*float64(t.work))).After(t.request.Deadline) {
+			continue
+		}
+		g.waiting = slices.Delete(g.waiting, i, i+1)
+		i--
+		t.retryAfter = start
+		t.refuse(ReasonTooLate)
 	}
-	return time.Duration(float64(g.average) * float64(ahead+1) / g.limit)
 }
 
-func (g *Gate) queue(class config.Class) *queue {
-	if class == config.ClassCommand {
-		return g.commands
+// waitingOf returns how many calls of a caller wait.
+func (g *Gate) waitingOf(caller string) int {
+	if caller == "" {
+		return 0
 	}
-	return g.lookups
+	count := 0
+	for _, t := range g.waiting {
+		if t.request.Caller == caller {
+			count++
+		}
+	}
+	return count
 }
 
-func (g *Gate) waiting() int {
-	return g.lookups.length + g.commands.length
+// startOf estimates when the call at a place among those that wait begins.
+func (g *Gate) startOf(place int) time.Duration {
+	free := float64(g.running) - g.limit
+	return time.Duration(max(0, free+float64(place)+1) / g.limit * float64(g.average))
+}
+
+// startAmong estimates when a call of a rank at a place among those that wait
+// begins, given that more urgent ones go on coming.
+func (g *Gate) startAmong(now time.Time, place int, rank uint32) time.Duration {
+	left := max(_leastLeft, 1-g.demand.above(now, rank)/g.limit)
+	return time.Duration(float64(g.startOf(place)) / left)
+}
+
+// workOf returns how long a call of a route usually runs, 0 before the first
+// call.
+func (g *Gate) workOf(route config.RouteName) time.Duration {
+	if work, ok := g.byRoute[route]; ok {
+		return work
+	}
+	return g.average
 }
 
 func (g *Gate) hasSlot() bool {
 	return g.running < int(g.limit)
 }
 
-func (g *Gate) admit(now time.Time, ticket *Ticket) {
+func (g *Gate) admit(now time.Time, t *Ticket) {
 	g.running++
-	ticket.started = now
-	close(ticket.decided)
+	t.started = now
+	close(t.decided)
 }
 
 // Leave gives an admitted call's slot back.
-func (g *Gate) Leave(now time.Time, ticket *Ticket, result Result) {
+func (g *Gate) Leave(now time.Time, t *Ticket, result Result) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.running--
 	if result != Refused {
-		g.learn(now, now.Sub(ticket.started), result)
+		g.learn(now, t, result)
 	}
 	g.fill(now)
 }
 
-func (g *Gate) learn(now time.Time, took time.Duration, result Result) {
-	if g.average == 0 {
-		g.average = took
+func (g *Gate) learn(now time.Time, t *Ticket, result Result) {
+	took := now.Sub(t.started)
+	g.average = moved(g.average, took)
+	if _, known := g.byRoute[t.request.Route]; known || len(g.byRoute) < _routesMost {
+		g.byRoute[t.request.Route] = moved(g.byRoute[t.request.Route], took)
+	}
+	if !g.limits.Adaptive {
+		return
 	}
-	g.average += time.Duration(_averageWeight * float64(took-g.average))
 	if result == Done {
 		g.limit = min(float64(g.limits.Slots), g.limit+1/g.limit)
 		return
@@ -242,66 +342,87 @@
 	}
 }
 
+// moved returns a moving average after one more value.
+func moved(average, value time.Duration) time.Duration {
+	if average == 0 {
+		return value
+	}
+	return average + time.Duration(_averageWeight*float64(value-average))
+}
+
 // fill admits waiting calls to the free slots and refuses those that can no
 // longer be done in time.
 func (g *Gate) fill(now time.Time) {
-	for g.hasSlot() {
-		ticket := g.next()
-		if ticket == nil {
-			return
-		}
-		late := now.Add(g.average).After(ticket.request.Deadline)
-		if late || now.Sub(ticket.entered) > g.queue(ticket.request.Class).limits.Wait {
-			ticket.refuse(ReasonTooLate)
+	for g.hasSlot() && len(g.waiting) > 0 {
+		t := g.next()
+		hopeless := now.Add(time.Duration(_hopeless * float64(t.work))).After(t.request.Deadline)
+		if hopeless || now.Sub(t.entered) > g.longestWait(t.request.Class) {
+			t.refuse(ReasonTooLate)
 			continue
 		}
-		g.admit(now, ticket)
+		g.admit(now, t)
 	}
 }
 
+// next takes out the call whose turn it is.
 func (g *Gate) next() *Ticket {
-	lookupsTurn := g.lookups.length > 0 && g.commandsRow >= _commandsInARow
-	if g.commands.length > 0 && !lookupsTurn {
-		g.commandsRow++
-		return g.commands.pop()
+	place := 0
+	first := g.waiting[0].request.Rank
+	lower := slices.IndexFunc(g.waiting, func(t *Ticket) bool { return t.request.Rank > first })
+	switch {
+	case lower < 0:
+		g.urgentRow = 0
+	case g.urgentRow >= _urgentInARow:
+		place = lower
+		g.urgentRow = 0
+	default:
+		g.urgentRow++
 	}
-	g.commandsRow = 0
-	return g.lookups.pop()
+	t := g.waiting[place]
+	g.waiting = slices.Delete(g.waiting, place, place+1)
+	return t
 }
 
 // Abandon takes a waiting call out of the queue and reports whether it was
 // still waiting. Otherwise it was decided meanwhile; if admitted, it must
 // Leave.
-func (g *Gate) Abandon(ticket *Ticket) bool {
+func (g *Gate) Abandon(t *Ticket) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	select {
-	case <-ticket.decided:
+	place := slices.Index(g.waiting, t)
+	if place < 0 {
 		return false
-	default:
 	}
-	g.queue(ticket.request.Class).remove(ticket)
-	ticket.refuse(ReasonAbandoned)
+	g.waiting = slices.Delete(g.waiting, place, place+1)
+	t.refuse(ReasonAbandoned)
 	return true
 }
 
 // LongestWait returns how long a call of a class waits at most.
 func (g *Gate) LongestWait(class config.Class) time.Duration {
-	return g.queue(class).limits.Wait
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.longestWait(class)
+}
+
+func (g *Gate) longestWait(class config.Class) time.Duration {
+	if class == config.ClassCommand {
+		return g.limits.CommandWait
+	}
+	return g.limits.LookupWait
 }
 
 // Expire refuses the waiting calls whose time is over.
 func (g *Gate) Expire(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, q := range []*queue{g.lookups, g.commands} {
-		for _, ticket := range q.tickets() {
-			if now.After(ticket.request.Deadline) || now.Sub(ticket.entered) >= q.limits.Wait {
-				q.remove(ticket)
-				ticket.refuse(ReasonTooLate)
-			}
+	g.waiting = slices.DeleteFunc(g.waiting, func(t *Ticket) bool {
+		over := now.After(t.request.Deadline) || now.Sub(t.entered) >= g.longestWait(t.request.Class)
+		if over {
+			t.refuse(ReasonTooLate)
 		}
-	}
+		return over
+	})
 }
 
 // Drain refuses all waiting and all new calls. Those that run go on.
@@ -309,11 +430,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.draining = true
-	for _, q := range []*queue{g.lookups, g.commands} {
-		for ticket := q.pop(); ticket != nil; ticket = q.pop() {
-			ticket.refuse(ReasonDraining)
-		}
+	for _, t := range g.waiting {
+		t.refuse(ReasonDraining)
 	}
+	g.waiting = nil
 }
 
 // Resume admits calls again after Drain.
@@ -324,16 +444,14 @@
 }
 
 // Resize sets how many calls the upstream runs at once.
-func (g *Gate) Resize(slots int) {
+func (g *Gate) Resize(limits Limits) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if slots == g.limits.Slots {
+	if limits == g.limits {
 		return
 	}
-	g.limits = DefaultLimits(slots)
-	g.limit = float64(slots)
-	g.lookups.limits = g.limits.Lookup
-	g.commands.limits = g.limits.Command
+	g.limits = limits
+	g.limit = float64(limits.Slots)
 }
 
 // Load is how busy an upstream is.
@@ -350,5 +468,5 @@
 func (g *Gate) Load() Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return Load{Running: g.running, Waiting: g.waiting(), Limit: int(g.limit), Work: g.average}
+	return Load{Running: g.running, Waiting: len(g.waiting), Limit: int(g.limit), Work: g.average}
 }
--- a/call/forward.go
+++ b/call/forward.go
@@ -78,6 +78,9 @@
 	if f.origin == _none {
 		f.origin = ""
 	}
+	if f.caller == _none {
+		f.caller = ""
+	}
 	return f, failure
 }
 
--- a/call/ingress.go
+++ b/call/ingress.go
@@ -61,9 +61,14 @@
 	Origin  config.ServiceName
 	Dialect Dialect
 	Budgets *retry.Budgets[config.ServiceName]
-	Metrics *Metrics
-	Logger  klog.Logger
-	Now     func() time.Time
+	// Nodes returns how many nodes share the budgets.
+	Nodes func() int
+	// FairCallers shares the slots of an upstream between the addresses that
+	// calls come from.
+	FairCallers bool
+	Metrics     *Metrics
+	Logger      klog.Logger
+	Now         func() time.Time
 }
 
 // Ingress takes calls from callers and sends each to the node that owns the
@@ -114,7 +119,7 @@
 		allowEarlyAnswer(w)
 		defer drain(w, r)
 	}
-	i.d.Budgets.For(now, c.service.Name).Called(now)
+	i.d.Budgets.For(c.service.Name).Called(now)
 	c.carry(ctx)
 }
 
@@ -314,7 +319,7 @@
 		return len(c.tried) < _maxRefusals
 	}
 	now := c.ingress.d.Now()
-	if !c.ingress.d.Budgets.For(now, c.service.Name).Take(now) {
+	if !c.ingress.d.Budgets.For(c.service.Name).Take(now, c.ingress.d.Nodes()) {
 		c.ingress.d.Logger.Info("Retry budget is spent", "call", c.id, "service", c.service.Name)
 		return false
 	}
@@ -387,10 +392,10 @@
 		owner:      endpoint.Owner,
 		route:      route.Name,
 		class:      route.Class,
-		caller:     callerOf(c.request),
+		caller:     c.caller(),
 		origin:     c.ingress.d.Origin,
 		repeatable: c.repeatable(),
-		rank:       route.Rank,
+		rank:       rankOf(route),
 		useful:     useful - c.ingress.d.Now().Sub(c.began),
 	}
 }
@@ -481,6 +486,23 @@
 	}
 }
 
+// rankOf returns a route's urgency. Among routes that state none, commands are
+// more urgent than lookups.
+func rankOf(route config.Route) uint32 {
+	if route.Rank == 0 && route.Objective == _noObjective && route.Class == config.ClassLookup {
+		return 1
+	}
+	return route.Rank
+}
+
+// caller returns what the calls are grouped by between which slots are shared.
+func (c *ingressCall) caller() string {
+	if !c.ingress.d.FairCallers {
+		return _none
+	}
+	return callerOf(c.request)
+}
+
 func callerOf(r *http.Request) string {
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
 	if err != nil {
--- a/call/path_test.go
+++ b/call/path_test.go
@@ -86,14 +86,16 @@
 	}
 	assert.Equal(t, len(config.Check(c)), 0)
 	ingress := call.NewIngress(call.IngressDependencies{
-		Routes:    routes{routing.NewTable(c, nil, rand.New(rand.NewPCG(1, 1)))},
-		Endpoints: p.pool,
-		Transport: call.NewForwardTransport(),
-		Dialect:   call.NativeDialect{},
-		Budgets:   retry.NewBudgets[config.ServiceName](retry.DefaultLimits()),
-		Metrics:   call.NewMetrics(new(expvar.Map), "ingress"),
-		Logger:    klog.Logger{},
-		Now:       time.Now,
+		Routes:      routes{routing.NewTable(c, nil, rand.New(rand.NewPCG(1, 1)))},
+		Endpoints:   p.pool,
+		Transport:   call.NewForwardTransport(),
+		Dialect:     call.NativeDialect{},
+		Budgets:     retry.NewBudgets[config.ServiceName](retry.DefaultLimits()),
+		Nodes:       func() int { return 1 },
+		FairCallers: true,
+		Metrics:     call.NewMetrics(new(expvar.Map), "ingress"),
+		Logger:      klog.Logger{},
+		Now:         time.Now,
 	})
 	server := httptest.NewServer(ingress)
 	t.Cleanup(server.Close)
--- a/lentilferryd/main.go
+++ b/lentilferryd/main.go
@@ -124,6 +124,7 @@
 		Periods:    s.Periods,
 		Membership: s.Membership,
 		Lease:      s.Lease,
+		Retries:    s.Retries,
 		Listeners:  listeners,
 		Logger:     klog.Background().WithValues("node", s.ID),
 		Now:        time.Now,
--- a/membership/table.go
+++ b/membership/table.go
@@ -242,6 +242,23 @@
 	return _spread * int(math.Ceil(math.Log2(float64(size)+2)))
 }
 
+// Size returns how many members there are, with those that failed and may only
+// be cut off.
+func (t *Table) Size() int {
+	count := 0
+	for _, zone := range t.zoneNames() {
+		s := t.shard(zone)
+		s.mu.Lock()
+		for _, r := range s.members {
+			if r.member.State != Left {
+				count++
+			}
+		}
+		s.mu.Unlock()
+	}
+	return count
+}
+
 func (t *Table) size(zone Zone) int {
 	s := t.shard(zone)
 	s.mu.Lock()
--- a/node/announced.go
+++ b/node/announced.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"lentilferry.example/lentilferry/admission"
 	"lentilferry.example/lentilferry/call"
 	"lentilferry.example/lentilferry/membership"
 	"lentilferry.example/lentilferry/upstream"
@@ -40,7 +41,7 @@
 	n.recorder.SetVersion(known.Version)
 	reason, allowed := n.mayServe(known.Version)
 	if allowed && (state == upstream.Cold || state == upstream.Ready) {
-		n.gate.Resize(known.Slots)
+		n.gate.Resize(admission.ExactLimits(known.Slots))
 		n.gate.Resume()
 	} else {
 		n.gate.Drain()
--- a/node/node.go
+++ b/node/node.go
@@ -145,6 +145,9 @@
 	Orders    Orders
 	Dialect   call.Dialect
 	Listeners Listeners
+	// Retries bounds the retries of each service; the zero value takes the
+	// default.
+	Retries retry.Limits
 	// Services are served beside the listeners.
 	Services []Service
 	Logger   klog.Logger
@@ -236,6 +239,9 @@
 	if d.Dialect == nil {
 		d.Dialect = call.NativeDialect{}
 	}
+	if d.Retries == (retry.Limits{}) {
+		d.Retries = retry.DefaultLimits()
+	}
 	now := d.Now()
 	seed := uint64(now.UnixNano())
 	n := &Node{
@@ -326,17 +332,19 @@
 		Now:              n.d.Now,
 	})
 	n.ingress = call.NewIngress(call.IngressDependencies{
-		Routes:    n,
-		Endpoints: n.pool,
-		Transport: toPeers,
-		Local:     n.owner,
-		Self:      n.table.Self,
-		Origin:    n.d.Upstream.Service,
-		Dialect:   n.d.Dialect,
-		Budgets:   retry.NewBudgets[config.ServiceName](retry.DefaultLimits()),
-		Metrics:   call.NewMetrics(n.vars, "ingress"),
-		Logger:    n.d.Logger,
-		Now:       n.d.Now,
+		Routes:      n,
+		Endpoints:   n.pool,
+		Transport:   toPeers,
+		Local:       n.owner,
+		Self:        n.table.Self,
+		Origin:      n.d.Upstream.Service,
+		Dialect:     n.d.Dialect,
+		Budgets:     retry.NewBudgets[config.ServiceName](n.d.Retries),
+		Nodes:       n.table.Size,
+		FairCallers: n.announced == nil,
+		Metrics:     call.NewMetrics(n.vars, "ingress"),
+		Logger:      n.d.Logger,
+		Now:         n.d.Now,
 	})
 }
 
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -7,63 +7,89 @@
 	"time"
 )
 
-// Limits bounds the retries of one service.
+// Limits bounds the retries of one service over all nodes together.
 type Limits struct {
-	// Ratio is how many retries each call earns.
+	// Ratio is how many retries there may be for each call.
 	Ratio float64
-	// PerSecond is how many retries are earned each second without calls.
-	PerSecond float64
-	// Most is how many retries can be saved up.
-	Most float64
+	// Slack is how many retries there may be beside those.
+	Slack float64
+	// Window is the time in which calls and retries are counted.
+	Window time.Duration
 }
 
 // DefaultLimits returns limits of one retry for five calls.
 func DefaultLimits() Limits {
-	return Limits{Ratio: 0.2, PerSecond: 1, Most: 50}
+	return Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}
 }
 
-// Budget holds what is left for the retries of one service. It is safe for
-// concurrent use.
+const (
+	// _ownPart is the part of the limits that nodes spend. The rest is for the
+	// calls that a repeated run makes again, which no node can tell from others.
+	_ownPart = 0.7
+	// _parts is how many parts a window has. One part more is kept: what is in
+	// the oldest counts until the whole part has left the window.
+	_parts   = 20
+	_buckets = _parts + 1
+)
+
+// Budget is one node's part of what the nodes may retry for one service. It is
+// safe for concurrent use.
 type Budget struct {
 	limits Limits
 
 	mu sync.Mutex
-	// left is from 0 to Most.
-	left float64
-	// refilled is when PerSecond was last added.
-	refilled time.Time
+	// calls and retries hold the counts of the newest parts of the window.
+	calls   [_buckets]int
+	retries [_buckets]int
+	// newest is the number of the newest part since the epoch.
+	newest int64
 }
 
-// New returns a full budget.
-func New(now time.Time, limits Limits) *Budget {
-	return &Budget{limits: limits, left: limits.Most, refilled: now}
+// New returns a budget of which nothing is spent.
+func New(limits Limits) *Budget {
+	return &Budget{limits: limits}
 }
 
-// Called adds what one call earns.
+// Called takes in one call to the service.
 func (b *Budget) Called(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.refill(now)
-	b.left = min(b.limits.Most, b.left+b.limits.Ratio)
+	b.advance(now)
+	b.calls[b.newest%_buckets]++
 }
 
-// Take reports whether a retry is allowed, and spends it.
-func (b *Budget) Take(now time.Time) bool {
+// Take reports whether a retry is allowed, and spends it. The slack is shared
+// by the given number of nodes.
+func (b *Budget) Take(now time.Time, nodes int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.refill(now)
-	if b.left < 1 {
+	b.advance(now)
+	calls, retries := 0, 0
+	for i := range _buckets {
+		calls += b.calls[i]
+		retries += b.retries[i]
+	}
+	allowed := _ownPart * (b.limits.Ratio*float64(calls) + b.limits.Slack/float64(max(1, nodes)))
+	if float64(retries+1) > allowed {
 		return false
 	}
-	b.left--
+	b.retries[b.newest%_buckets]++
 	return true
 }
 
-func (b *Budget) refill(now time.Time) {
-	if elapsed := now.Sub(b.refilled); elapsed > 0 {
-		b.left = min(b.limits.Most, b.left+elapsed.Seconds()*b.limits.PerSecond)
-		b.refilled = now
+// advance drops the parts that have left the window.
+func (b *Budget) advance(now time.Time) {
+	part := now.UnixNano() / int64(b.limits.Window/_parts)
+	steps := part - b.newest
+	if steps <= 0 {
+		return
+	}
+	for i := range min(steps, _buckets) {
+		place := (part - i) % _buckets
+		b.calls[place] = 0
+		b.retries[place] = 0
 	}
+	b.newest = part
 }
 
 // Budgets holds a budget for each service.
@@ -72,16 +98,16 @@
 	byKey  sync.Map
 }
 
-// NewBudgets returns budgets that start full at first use.
+// NewBudgets returns budgets of which nothing is spent.
 func NewBudgets[K comparable](limits Limits) *Budgets[K] {
 	return &Budgets[K]{limits: limits}
 }
 
 // For returns the budget of a key.
-func (b *Budgets[K]) For(now time.Time, key K) *Budget {
+func (b *Budgets[K]) For(key K) *Budget {
 	if found, ok := b.byKey.Load(key); ok {
 		return found.(*Budget) //nolint:forcetypeassert // The map holds budgets only.
 	}
-	found, _ := b.byKey.LoadOrStore(key, New(now, b.limits))
+	found, _ := b.byKey.LoadOrStore(key, New(b.limits))
 	return found.(*Budget) //nolint:forcetypeassert // The map holds budgets only.
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -20,6 +20,7 @@
 	"lentilferry.example/lentilferry/lease"
 	"lentilferry.example/lentilferry/membership"
 	"lentilferry.example/lentilferry/node"
+	"lentilferry.example/lentilferry/retry"
 )
 
 // The platform protocols.
@@ -28,6 +29,9 @@
 	_protocolHosted = "hosted"
 )
 
+// _slackMost bounds the retries beside the calls in a window.
+const _slackMost = 1_000_000
+
 // The bounds of the memory limit, in megabytes.
 const (
 	_memoryLeast = 32
@@ -59,6 +63,8 @@
 	Periods     node.Periods
 	Membership  membership.Timing
 	Lease       lease.Timing
+	// Retries bounds the retries of each service over all nodes.
+	Retries retry.Limits
 	// Verbosity is klog's level.
 	Verbosity int
 	// PrintOnly asks to print the settings and do nothing else.
@@ -115,6 +121,9 @@
 		{name: "leave-out-after", defaultValue: p.LeaveOutAfter.String(), help: "silence after which a zone no longer holds rollouts back"},
 		{name: "suspicion-timeout", defaultValue: m.Suspicion.String(), help: "time that a suspected member has to answer"},
 		{name: "lease-lifetime", defaultValue: l.Lifetime.String(), help: "time after which a silent controller is replaced"},
+		{name: "retry-ratio", defaultValue: fmt.Sprint(retry.DefaultLimits().Ratio), help: "retries that all nodes together may make for each call to a service"},
+		{name: "retry-slack", defaultValue: fmt.Sprint(retry.DefaultLimits().Slack), help: "retries that they may make beside those, in each window"},
+		{name: "retry-window", defaultValue: retry.DefaultLimits().Window.String(), help: "time in which calls and retries are counted"},
 		{name: "verbosity", defaultValue: "0", help: "log level, from 0 to 9"},
 	}
 }
@@ -221,7 +230,12 @@
 		},
 		Membership: membership.DefaultTiming(),
 		Lease:      lease.DefaultTiming(),
-		Verbosity:  r.number("verbosity", 0, 9),
+		Retries: retry.Limits{
+			Ratio:  r.fraction("retry-ratio"),
+			Slack:  float64(r.number("retry-slack", 0, _slackMost)),
+			Window: r.duration("retry-window"),
+		},
+		Verbosity: r.number("verbosity", 0, 9),
 	}
 	if s.Hosted {
 		s.AnnounceAddress = r.address("announce-address")
@@ -325,6 +339,16 @@
 	return n
 }
 
+func (r *reader) fraction(flag string) float64 {
+	text := r.text(flag)
+	f, err := strconv.ParseFloat(text, 64)
+	if err != nil || f < 0 || f > 1 {
+		r.faultf(flag, "%q is not a number from 0 to 1", text)
+		return 0
+	}
+	return f
+}
+
 func (r *reader) choice(flag string, choices ...string) string {
 	text := r.text(flag)
 	if !slices.Contains(choices, text) {
