--- a/config/config.go
+++ b/config/config.go
@@ -66,6 +66,9 @@
 	Only VersionName
 	// Except is a version that is not allowed; empty for none.
 	Except VersionName
+	// Part is the part of the upstreams of Only that take calls, so that each
+	// of them has its usual load when the version has a small share; 0 for all.
+	Part float64
 }
 
 // Allows reports whether a version may take the call.
--- a/evidence/detector.go
+++ b/evidence/detector.go
@@ -45,6 +45,9 @@
 	candidate config.VersionName
 	// slowFactor sets the latency above which a call is slow; see _slowFactor.
 	slowFactor float64
+	// spreadFrom is how many upstreams the candidate has when a fault of one
+	// alone is not the version's.
+	spreadFrom int
 	// latest holds the newest report of each incarnation of each node.
 	latest map[reporter]Report
 	// candidates holds the candidate's upstreams that have reported calls.
@@ -85,6 +88,7 @@
 		baseline:   baseline,
 		candidate:  candidate,
 		slowFactor: _slowFactor,
+		spreadFrom: _spreadFrom,
 		latest:     make(map[reporter]Report),
 		candidates: make(map[membership.NodeID]bool),
 		streams:    make(map[streamKey]*stream),
@@ -92,10 +96,13 @@
 }
 
 // NewUnevenDetector returns a detector for upstreams whose speeds differ by up
-// to the given factor whatever their version.
+// to the given factor whatever their version, and where the candidate's calls
+// may all go to one of its upstreams, so that a fault of that one counts as
+// the version's.
 func NewUnevenDetector(baseline, candidate config.VersionName, speeds float64) *Detector {
 	d := NewDetector(baseline, candidate)
 	d.slowFactor = max(_slowFactor, speeds)
+	d.spreadFrom = math.MaxInt
 	return d
 }
 
@@ -225,7 +232,7 @@
 // spread reports whether a stream's bad calls are the version's: where the
 // version has several upstreams, not those of a single one.
 func (d *Detector) spread(s *stream, bad func(Tally) uint64) bool {
-	if len(d.candidates) < _spreadFrom {
+	if len(d.candidates) < d.spreadFrom {
 		return true
 	}
 	var all, worst sample
--- a/move/pilot.go
+++ b/move/pilot.go
@@ -42,8 +42,22 @@
 	// the last stage begins, if the version is good so far: the calls at the
 	// old version need a timeout's time to end.
 	_lastStageMost = 0.25
+	// _maskingPart is the part of the candidate's calls that may fail for the
+	// share to grow. When more fail and the version before is no better, a
+	// fault of both hides what the candidate does of its own.
+	_maskingPart = 0.1
+	// _unclearMost is how many of the candidate's calls may fail while the
+	// version before fails as often. A bad version is to be out soon after its
+	// 50th bad answer.
+	_unclearMost = 40
 )
 
+// unclear reports whether too many calls failed for the version to be kept
+// though the version before is no better.
+func unclear(v evidence.Verdict) bool {
+	return v.CandidateFailures >= _unclearMost && float64(v.CandidateFailures) > _maskingPart*float64(v.CandidateCalls)
+}
+
 // Inputs are what a pilot knows of an order.
 type Inputs struct {
 	// Verdict is what the evidence says of the candidate.
@@ -110,8 +124,10 @@
 	self membership.NodeID
 	// stage is the index of the present stage, -1 before the first.
 	stage int
-	// stageCalls is what the candidate had been sent when the stage began.
-	stageCalls uint64
+	// stageCalls is what the candidate had been sent when the stage began, or
+	// when too much failed to tell, and stageFailures what of it had failed.
+	stageCalls    uint64
+	stageFailures uint64
 	// lastSince is the order's revision from which on the last stage is in
 	// force; 0 before it.
 	lastSince uint64
@@ -158,6 +174,11 @@
 	case in.Verdict.Bad:
 		next.State, next.Share, next.Reason = Reverted, 0, in.Verdict.Reason
 		return next, true
+	case unclear(in.Verdict):
+		next.State, next.Share = Reverted, 0
+		next.Reason = fmt.Sprintf("%d of %d calls failed; that the version before fails too does not show the version to be good",
+			in.Verdict.CandidateFailures, in.Verdict.CandidateCalls)
+		return next, true
 	case next.State == Ordered:
 		next.State, next.Share, next.Reason = Running, 0, "the version is awaited"
 		return next, true
@@ -173,7 +194,7 @@
 		next.Reason = "calls may be left at " + string(busy)
 	case p.mayRaise(now, u, in, &next):
 		p.stage++
-		p.stageCalls = in.Verdict.CandidateCalls
+		p.observeFrom(in.Verdict)
 		next.Share = _stages[p.stage].share
 		next.Reason = fmt.Sprintf("raised after %d calls, %d of them failed", in.Verdict.CandidateCalls, in.Verdict.CandidateFailures)
 		return next, true
@@ -181,8 +202,15 @@
 	return next, next.Pilot != u.Order.Progress.Pilot || now.Sub(u.Seen) >= _refreshEvery
 }
 
+// observeFrom begins to count the candidate's calls anew.
+func (p *Pilot) observeFrom(v evidence.Verdict) {
+	p.stageCalls, p.stageFailures = v.CandidateCalls, v.CandidateFailures
+}
+
 // mayRaise reports whether the next stage begins; next.Reason says why not.
 func (p *Pilot) mayRaise(now time.Time, u Under, in Inputs, next *Progress) bool {
+	calls := in.Verdict.CandidateCalls - p.stageCalls
+	failures := in.Verdict.CandidateFailures - p.stageFailures
 	candidates, warm := in.candidates(next.Candidate)
 	silent := in.silent(now)
 	elapsed := float64(now.Sub(u.Started)) / float64(max(u.Order.Duration, time.Millisecond))
@@ -193,9 +221,13 @@
 	case p.stage < 0:
 		next.Reason = "the version's upstreams are cold"
 		return warm > 0
-	case in.Verdict.CandidateCalls-p.stageCalls < _leastCalls && elapsed < 1-_lastStageMost:
+	case calls < _leastCalls:
 		next.Reason = "too few calls of the version were seen"
 		return false
+	case float64(failures) > _maskingPart*float64(calls):
+		next.Reason = fmt.Sprintf("%d of %d calls failed, and of the version before no fewer", failures, calls)
+		p.observeFrom(in.Verdict)
+		return false
 	case silent != "" && elapsed < 1-_lastStageMost:
 		next.Reason = "no current report from " + string(silent)
 		return false
--- a/node/orders.go
+++ b/node/orders.go
@@ -39,8 +39,8 @@
 	// may be for reasons of their VM.
 	_unevenSpeeds = 2.5
 	// _aloneFailures is how many failures of a candidate's upstream make its
-	// own node keep it out, if they are more than one in _alonePart: so few
-	// come together that a pilot which is not reached does no harm.
+	// own node keep it out while the pilot is silent, if they are more than one
+	// in _alonePart.
 	_aloneFailures = 6
 	_alonePart     = 4
 )
@@ -89,7 +89,7 @@
 // mayServe reports whether the upstream of this node may take calls by the
 // order for its service, and says why not.
 func (n *Node) mayServe(version config.VersionName) (string, bool) {
-	o, _, ok := n.book.Order(n.d.Upstream.Service)
+	o, seen, ok := n.book.Order(n.d.Upstream.Service)
 	if !ok {
 		return "", true
 	}
@@ -98,8 +98,8 @@
 	switch {
 	case isCandidate && (p.State == move.Reverted || p.State == move.Ordered || p.State == move.Running && p.Share == 0):
 		return "the version has no share", false
-	case isCandidate && p.State == move.Running && n.failsAlone():
-		return "the version fails on this upstream", false
+	case isCandidate && p.State == move.Running && n.d.Now().Sub(seen) > _pilotHeard && n.failsAlone():
+		return "the version fails on this upstream and its pilot is silent", false
 	case !isCandidate && (p.State == move.Complete || p.State == move.Running && p.Share >= config.FullShare):
 		return "the service has moved on", false
 	default:
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -1,7 +1,9 @@
 package routing
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -101,7 +103,7 @@
 // soonest, in the own zone where that is about the same, and that is not
 // among the tried ones. It returns false when there is none.
 func (p *Pool) Choose(now time.Time, service config.ServiceName, versions config.VersionSet, tried []*Endpoint) (*Endpoint, bool) {
-	candidates := kept(now, (*p.view.Load())[service], versions, tried)
+	candidates := kept(now, part((*p.view.Load())[service], versions), versions, tried)
 	if len(candidates) == 0 {
 		return nil, false
 	}
@@ -118,6 +120,23 @@
 	return best, true
 }
 
+// part returns the endpoints that take calls when only a part of a version's
+// upstreams do. All senders take the same ones.
+func part(endpoints []*Endpoint, versions config.VersionSet) []*Endpoint {
+	if versions.Part == 0 {
+		return endpoints
+	}
+	var chosen []*Endpoint
+	for _, e := range endpoints {
+		if versions.Allows(e.Member.Version) {
+			chosen = append(chosen, e)
+		}
+	}
+	slices.SortFunc(chosen, func(a, b *Endpoint) int { return cmp.Compare(a.Member.ID, b.Member.ID) })
+	most := max(1, int(versions.Part*float64(len(chosen))))
+	return chosen[:min(most, len(chosen))]
+}
+
 // kept returns the endpoints to choose from. Ejected and suspected ones are
 // among them only when they are more than half, so that a sender never ejects
 // all upstreams of a version.
