admission: Put calls that can't be in time behind those that can

Change: late calls wait behind those of their rank that can still be in time, with the work that goes on coming taken into account; a call needs twice its usual time when it queues; callers that come back are known by the time that they have left; Retry-After is when there is room, spread, at most a third of the time left; a call not run is refused as such also when its time is over.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -106,9 +106,12 @@
 	// _urgentInARow is how many calls go before a waiting one of a lower rank,
 	// so that none starves.
 	_urgentInARow = 4
+	// _ample is how many times its usual time is to be left for a call that
+	// waits: the run of one that its deadline ends is wasted.
+	_ample = 2
 	// _hopeless is the part of a call's usual time that must be left for it to
 	// be worth running: calls of a route differ.
-	_hopeless = 0.5
+	_hopeless = 1
 	// _leastLeft is the part of the slots that is taken to be left for a rank
 	// however much more urgent work comes.
 	_leastLeft = 0.1
@@ -157,7 +160,7 @@
 	turn int
 	// number grows with each call.
 	number uint64
-	// late is set for a call that came when it was no longer of full use.
+	// late is set for a call that can't be done while it is of full use.
 	late bool
 	// decided is closed when the call was admitted or refused.
 	decided chan struct{}
@@ -204,11 +207,20 @@
 		cmp.Compare(t.request.Rank, other.request.Rank),
 		cmp.Compare(late(t), late(other)),
 		cmp.Compare(t.turn, other.turn),
-		t.request.Useful.Compare(other.request.Useful),
+		t.end().Compare(other.end()),
 		cmp.Compare(t.number, other.number),
 	)
 }
 
+// end is until when the call is worth running: as long as its answer is of full
+// use and, for a late call, until its deadline.
+func (t *Ticket) end() time.Time {
+	if t.late {
+		return t.request.Deadline
+	}
+	return t.request.Useful
+}
+
 // Enter asks for a slot. An admitted call must Leave; one that gives up while
 // it waits must Abandon.
 func (g *Gate) Enter(now time.Time, request Request) *Ticket {
@@ -236,12 +248,19 @@
 }
 
 // queue gives a call its place among those that wait, and refuses those, this
-// one or others behind it, that can no longer be done in time.
+// one or others behind it, that can no longer be done in time. A call that
+// can't be done while it is of full use waits behind those that can: under
+// lasting overload that serves as many calls, and more of them in time, than
+// the order of their coming.
 func (g *Gate) queue(now time.Time, t *Ticket) {
 	t.turn = g.waitingOf(t.request.Caller)
-	place, _ := slices.BinarySearchFunc(g.waiting, t, (*Ticket).before)
-	start := g.startAmong(now, place, t.request.Rank)
-	if start > g.longestWait(t.request.Class) || now.Add(start+t.work).After(t.request.Deadline) {
+	place, start := g.placeOf(now, t)
+	if !t.late && now.Add(start+t.work).After(t.request.Useful) {
+		t.late = true
+		place, start = g.placeOf(now, t)
+	}
+	need := start + time.Duration(_ample*float64(t.work))
+	if start > g.longestWait(t.request.Class) || now.Add(need).After(t.request.Deadline) {
 		t.retryAfter = start
 		t.refuse(ReasonTooLate)
 		return
@@ -250,6 +269,12 @@
 	g.prune(now, place+1)
 }
 
+// placeOf returns a call's place among those that wait, and when it begins.
+func (g *Gate) placeOf(now time.Time, t *Ticket) (int, time.Duration) {
+	place, _ := slices.BinarySearchFunc(g.waiting, t, (*Ticket).before)
+	return place, g.startAmong(now, place, t)
+}
+
 // prune refuses the calls from a place on that others went before, and that
 // have no hope left.
 func (g *Gate) prune(now time.Time, from int) {
@@ -286,10 +311,14 @@
 	return time.Duration(max(0, free+float64(place)+1) / g.limit * float64(g.average))
 }
 
-// startAmong estimates when a call of a rank at a place among those that wait
-// begins, given that more urgent ones go on coming.
-func (g *Gate) startAmong(now time.Time, place int, rank uint32) time.Duration {
-	left := max(_leastLeft, 1-g.demand.above(now, rank)/g.limit)
+// startAmong estimates when a call at a place among those that wait begins,
+// given that calls go on coming that go before it.
+func (g *Gate) startAmong(now time.Time, place int, t *Ticket) time.Duration {
+	before := g.demand.above(now, t.request.Rank)
+	if t.late {
+		before = g.demand.above(now, t.request.Rank+1)
+	}
+	left := max(_leastLeft, 1-before/g.limit)
 	return time.Duration(float64(g.startOf(place)) / left)
 }
 
@@ -354,6 +383,7 @@
 // longer be done in time.
 func (g *Gate) fill(now time.Time) {
 	for g.hasSlot() && len(g.waiting) > 0 {
+		g.demote(now)
 		t := g.next()
 		hopeless := now.Add(time.Duration(_hopeless * float64(t.work))).After(t.request.Deadline)
 		if hopeless || now.Sub(t.entered) > g.longestWait(t.request.Class) {
@@ -364,6 +394,20 @@
 	}
 }
 
+// demote puts calls behind that have waited until they were late.
+func (g *Gate) demote(now time.Time) {
+	demoted := false
+	for _, t := range g.waiting {
+		if !t.late && now.Add(t.work).After(t.request.Useful) {
+			t.late = true
+			demoted = true
+		}
+	}
+	if demoted {
+		slices.SortFunc(g.waiting, (*Ticket).before)
+	}
+}
+
 // next takes out the call whose turn it is.
 func (g *Gate) next() *Ticket {
 	place := 0
--- a/call/ingress.go
+++ b/call/ingress.go
@@ -27,7 +27,7 @@
 	// route does not say.
 	_maxAttempts = 3
 	// _maxRefusals is how many owners may refuse a call before it is given up.
-	_maxRefusals = 4
+	_maxRefusals = 2
 	// _noObjective is the objective of a route that states none: an answer is
 	// of use until the deadline.
 	_noObjective = time.Duration(0)
@@ -142,6 +142,8 @@
 		depth:    a.depth,
 		body:     newReplayBody(r.Body),
 		versions: [2]config.VersionSet{first, second},
+		used:     a.used,
+		left:     a.callerLeft,
 	}
 }
 
@@ -150,6 +152,10 @@
 	target *routing.Target
 	// left is the time left for the call.
 	left time.Duration
+	// callerLeft is how long the caller waits, used how long it has waited in
+	// earlier attempts.
+	callerLeft time.Duration
+	used       time.Duration
 	// depth is how many services the call has passed through.
 	depth int
 }
@@ -171,9 +177,12 @@
 	if err != nil {
 		return accepted{}, ReasonBadRequest
 	}
-	if !stated || left > target.Route.Timeout {
+	if !stated {
 		left = target.Route.Timeout
 	}
+	callerLeft := left
+	used := target.Used(callerLeft)
+	left = min(left, target.Route.Timeout)
 	if left <= 0 {
 		return accepted{}, ReasonDeadline
 	}
@@ -184,7 +193,7 @@
 	if n >= MaxDepth {
 		return accepted{}, ReasonTooDeep
 	}
-	return accepted{target: target, left: left, depth: n}, ""
+	return accepted{target: target, left: left, callerLeft: callerLeft, used: used, depth: n}, ""
 }
 
 func (i *Ingress) refuse(w http.ResponseWriter, r *http.Request, reason Reason) {
@@ -222,6 +231,11 @@
 	// have no upstream.
 	versions [2]config.VersionSet
 	tried    []*routing.Endpoint
+	// used is how long the caller had waited when the call came, in earlier
+	// attempts that were refused.
+	used time.Duration
+	// left is how long the caller still waited when the call came.
+	left time.Duration
 	// sent counts the upstreams that the call was sent to.
 	sent uint32
 	// retryAfter is the soonest that an owner which refused the call gave.
@@ -252,7 +266,7 @@
 		}
 	}
 	if last.Outcome == NotRun {
-		last.RetryAfter = c.retryAfter
+		last.RetryAfter = retryAfter(c.retryAfter, c.left-c.ingress.d.Now().Sub(c.began), rand.Float64())
 	}
 	c.ingress.d.Logger.Info("Gave up call", "call", c.id, "route", c.target.Route.Name, "versions", c.versions[0].String(),
 		"tried", len(c.tried), "sent", c.sent, "outcome", last.Outcome.String(), "reason", last.Reason, "retryAfter", last.RetryAfter)
@@ -260,6 +274,26 @@
 	last.write(c.writer, c.ingress.d.Dialect)
 }
 
+const (
+	// _soonestReturn is the least time after which a refused call is worth
+	// sending again: what refused it does not pass at once.
+	_soonestReturn = 250 * time.Millisecond
+	// _returnPart is the part of the time that the caller has left which it is
+	// told to wait at most, so that time is left for the call itself.
+	_returnPart = 1.0 / 3
+	// _returnSpread is the part by which callers refused together are told
+	// different times, so that they do not come back together.
+	_returnSpread = 0.3
+)
+
+// retryAfter returns when a caller is told to come back: when there is room,
+// as far as that is known, and soon enough to be served then. The point is
+// random in the unit interval.
+func retryAfter(room, left time.Duration, point float64) time.Duration {
+	after := min(max(room, _soonestReturn), time.Duration(_returnPart*float64(left)))
+	return max(time.Millisecond, time.Duration(float64(after)*(1-_returnSpread*point)))
+}
+
 // note takes in how a try ended.
 func (c *ingressCall) note(v Verdict) {
 	if v.reachedUpstream() {
@@ -384,7 +418,7 @@
 	route := c.target.Route
 	useful := c.deadline.Sub(c.began)
 	if route.Objective != _noObjective {
-		useful = route.Objective
+		useful = route.Objective - c.used
 	}
 	return forwarded{
 		id:         c.id,
--- a/call/outcome.go
+++ b/call/outcome.go
@@ -145,6 +145,10 @@
 	case ReasonUpgrade:
 		return http.StatusNotImplemented
 	case ReasonDeadline:
+		if v.Outcome == NotRun {
+			// A status that promises that the call was not run.
+			return http.StatusServiceUnavailable
+		}
 		return http.StatusGatewayTimeout
 	default:
 		if v.Outcome == Unknown {
--- a/routing/table.go
+++ b/routing/table.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"lentilferry.example/lentilferry/config"
 )
@@ -23,6 +24,9 @@
 	split    *splitter
 	// between divides the calls between the backends.
 	between *splitter
+	// patience is the longest time, in nanoseconds, that a caller of the route
+	// said it waits.
+	patience *atomic.Int64
 }
 
 // backend is one service that a route's calls are divided between.
@@ -52,9 +56,9 @@
 	for _, r := range c.Routes {
 		target := &Target{Route: r, Service: services[r.Service], backends: backendsOf(r, services)}
 		if old, ok := known[r.Name]; ok {
-			target.split, target.between = old.split, old.between
+			target.split, target.between, target.patience = old.split, old.between, old.patience
 		} else {
-			target.split, target.between = newSplitter(rnd), newSplitter(rnd)
+			target.split, target.between, target.patience = newSplitter(rnd), newSplitter(rnd), new(atomic.Int64)
 		}
 		t.byHost[r.Host] = append(t.byHost[r.Host], target)
 	}
@@ -122,6 +126,21 @@
 	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
 }
 
+// Used returns how long a caller that waits for the given time has waited
+// already: what the most patient callers wait longer. A caller that was refused
+// and comes back has that much less time.
+func (t *Target) Used(left time.Duration) time.Duration {
+	for {
+		most := t.patience.Load()
+		if int64(left) <= most {
+			return time.Duration(most) - left
+		}
+		if t.patience.CompareAndSwap(most, int64(left)) {
+			return 0
+		}
+	}
+}
+
 // NextService returns the service that the next call on the route goes to.
 func (t *Target) NextService() config.Service {
 	if len(t.backends) == 0 {
