--- a/call/ingress.go
+++ b/call/ingress.go
@@ -44,7 +44,7 @@
 
 // Endpoints gives the ingress the upstreams to choose from.
 type Endpoints interface {
-	Choose(now time.Time, service config.ServiceName, versions config.VersionSet, tried []*routing.Endpoint) (*routing.Endpoint, bool)
+	Choose(now time.Time, q routing.Query) (*routing.Endpoint, bool)
 }
 
 // IngressDependencies are what an Ingress is built from.
@@ -320,7 +320,8 @@
 		if i > 0 && versions == c.versions[0] {
 			break
 		}
-		if endpoint, ok := c.ingress.d.Endpoints.Choose(now, c.service.Name, versions, c.tried); ok {
+		q := routing.Query{Service: c.service.Name, Versions: versions, Objective: c.target.Route.Objective, Tried: c.tried}
+		if endpoint, ok := c.ingress.d.Endpoints.Choose(now, q); ok {
 			return endpoint, true
 		}
 	}
--- a/lentilferryd/main.go
+++ b/lentilferryd/main.go
@@ -41,9 +41,6 @@
 )
 
 const (
-	// _gcPercent lets the small heap grow to several times its live size
-	// before it is collected, which takes pauses out of calls.
-	_gcPercent = 400
 	// _memoryPart is the part of the memory that the process may use from
 	// which on collection becomes more frequent.
 	_memoryPart = 0.75
@@ -77,7 +74,7 @@
 		return _exitDone
 	}
 	configureLogs(s.Verbosity)
-	debug.SetGCPercent(_gcPercent)
+	debug.SetGCPercent(s.GCPercent)
 	debug.SetMemoryLimit(int64(_memoryPart * float64(s.MemoryLimit)))
 	defer klog.Flush()
 	if err := serve(s); err != nil {
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -139,17 +139,9 @@
 	return now.Before(e.ejectedUntil)
 }
 
-// Expected is the time after which a call that is sent now is expected to be
-// answered.
-type Expected struct {
-	// Wait is the part spent waiting for a slot.
-	Wait time.Duration
-	// Total is the whole, with what the way there counts for.
-	Total time.Duration
-}
-
-// expected estimates how long a call that is sent now takes.
-func (e *Endpoint) expected(now time.Time) Expected {
+// expected estimates what a call that is sent now costs, as a time: how much
+// longer than comfortable it takes, and what the way and failures count for.
+func (e *Endpoint) expected(now time.Time, comfortable time.Duration) time.Duration {
 	e.mu.Lock()
 	load, loadedAt := e.load, e.loadedAt
 	failureRate := e.failureRate * max(0, 1-float64(now.Sub(e.failedAt))/float64(_ejectFor))
@@ -168,8 +160,7 @@
 	freshness := max(0, 1-float64(now.Sub(loadedAt))/float64(_loadLifetime))
 	calls := max(float64(load.Calls)*freshness+float64(e.begun.Load())*freshness, float64(e.inFlight.Load()))
 	wait := time.Duration(max(0, calls+1-slots) / slots * float64(work))
-	total := wait + work + e.penalty +
+	return max(0, wait+work-comfortable) + e.penalty +
 		time.Duration(min(1, calls/slots)*float64(_evenDelay)) +
 		time.Duration(failureRate*float64(_failureDelay))
-	return Expected{Wait: wait, Total: total}
 }
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -21,6 +21,21 @@
 	_farPenalty = 300 * time.Millisecond
 )
 
+// _comfortablePart is the part of a route's objective within which it does not
+// matter how soon an answer is expected: calls of a route differ.
+const _comfortablePart = 0.4
+
+// Query is what an upstream is chosen for.
+type Query struct {
+	Service  config.ServiceName
+	Versions config.VersionSet
+	// Objective is the time within which an answer is of full use; 0 for as
+	// soon as possible.
+	Objective time.Duration
+	// Tried are the upstreams that the call was sent to before.
+	Tried []*Endpoint
+}
+
 type poolView map[config.ServiceName][]*Endpoint
 
 // Pool holds the upstreams that a sender can choose from.
@@ -102,8 +117,9 @@
 // Choose returns the upstream of the versions from which an answer is expected
 // soonest, in the own zone where that is about the same, and that is not
 // among the tried ones. It returns false when there is none.
-func (p *Pool) Choose(now time.Time, service config.ServiceName, versions config.VersionSet, tried []*Endpoint) (*Endpoint, bool) {
-	candidates := kept(now, part((*p.view.Load())[service], versions), versions, tried)
+func (p *Pool) Choose(now time.Time, q Query) (*Endpoint, bool) {
+	candidates := kept(now, part((*p.view.Load())[q.Service], q.Versions), q)
+	comfortable := time.Duration(_comfortablePart * float64(q.Objective))
 	if len(candidates) == 0 {
 		return nil, false
 	}
@@ -113,7 +129,7 @@
 	var soonest time.Duration
 	for i := range candidates {
 		e := candidates[(first+i)%len(candidates)]
-		if expected := e.expected(now).Total; best == nil || expected < soonest {
+		if expected := e.expected(now, comfortable); best == nil || expected < soonest {
 			best, soonest = e, expected
 		}
 	}
@@ -140,11 +156,11 @@
 // kept returns the endpoints to choose from. Ejected and suspected ones are
 // among them only when they are more than half, so that a sender never ejects
 // all upstreams of a version.
-func kept(now time.Time, endpoints []*Endpoint, versions config.VersionSet, tried []*Endpoint) []*Endpoint {
+func kept(now time.Time, endpoints []*Endpoint, q Query) []*Endpoint {
 	usable := make([]*Endpoint, 0, len(endpoints))
 	sound := make([]*Endpoint, 0, len(endpoints))
 	for _, e := range endpoints {
-		if !versions.Allows(e.Member.Version) || contains(tried, e) {
+		if !q.Versions.Allows(e.Member.Version) || contains(q.Tried, e) {
 			continue
 		}
 		usable = append(usable, e)
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -19,6 +19,8 @@
 
 var _v1 = config.VersionSet{Only: "v1"}
 
+var _query = Query{Service: "s", Versions: _v1}
+
 var _start = time.Unix(1_800_000_000, 0)
 
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
@@ -112,7 +114,7 @@
 	counts := make(map[membership.Zone]int)
 	var order []membership.Zone
 	for range 24 {
-		e, ok := p.Choose(_start, "s", _v1, nil)
+		e, ok := p.Choose(_start, _query)
 		assert.Assert(t, ok)
 		e.Begin()
 		if counts[e.Member.Zone] == 0 {
@@ -129,19 +131,44 @@
 	assert.Assert(t, wait("a", 2) >= _regionPenalty && wait("a", 2) <= _farPenalty+_usualWork, "%v", counts)
 }
 
+// A slow upstream in the own zone that is fast enough for the route's objective
+// is preferred to a fast one elsewhere, and no longer when calls wait there.
+func TestFastEnoughIsNear(t *testing.T) {
+	p := NewPool("a", "r1")
+	p.Update([]membership.Member{upstream(0, "a", "r1"), upstream(0, "b", "r1")})
+	for _, e := range p.endpoints {
+		work := 100 * time.Millisecond
+		if e.Member.Zone == "a" {
+			work = 300 * time.Millisecond
+		}
+		e.Loaded(_start, Load{Slots: 2, Work: work})
+	}
+	query := Query{Service: "s", Versions: _v1, Objective: 800 * time.Millisecond}
+	for range 2 {
+		e, _ := p.Choose(_start, query)
+		assert.Equal(t, e.Member.Zone, membership.Zone("a"))
+		e.Begin()
+	}
+	e, _ := p.Choose(_start, query)
+	assert.Equal(t, e.Member.Zone, membership.Zone("b"))
+	// Without an objective the sooner answer counts.
+	e, _ = p.Choose(_start, _query)
+	assert.Equal(t, e.Member.Zone, membership.Zone("b"))
+}
+
 func TestLoadFades(t *testing.T) {
 	p := NewPool("a", "r1")
 	p.Update([]membership.Member{upstream(0, "a", "r1"), upstream(1, "a", "r1")})
-	busy, _ := p.Choose(_start, "s", _v1, nil)
+	busy, _ := p.Choose(_start, _query)
 	// An upstream that lies about its load is avoided for a while only.
 	busy.Loaded(_start, Load{Calls: 1_000_000})
 	for range 20 {
-		e, _ := p.Choose(_start, "s", _v1, nil)
+		e, _ := p.Choose(_start, _query)
 		assert.Assert(t, e != busy)
 	}
 	chosen := 0
 	for range 50 {
-		if e, _ := p.Choose(_start.Add(2*time.Second), "s", _v1, nil); e == busy {
+		if e, _ := p.Choose(_start.Add(2*time.Second), _query); e == busy {
 			chosen++
 		}
 	}
@@ -171,7 +198,7 @@
 		var begun []*Endpoint
 		// Calls that wait make the next one go elsewhere.
 		for range 200 {
-			e, ok := p.Choose(now, "s", _v1, nil)
+			e, ok := p.Choose(now, _query)
 			assert.Assert(t, ok)
 			e.Begin()
 			begun = append(begun, e)
@@ -192,7 +219,7 @@
 	assert.Equal(t, len(seen(_start.Add(_ejectFor))), 4)
 	// By then the failures are forgotten too.
 	for _, e := range p.endpoints {
-		assert.Equal(t, e.expected(_start.Add(_ejectFor)).Total, _usualWork)
+		assert.Equal(t, e.expected(_start.Add(_ejectFor), 0), _usualWork)
 	}
 }
 
@@ -201,15 +228,15 @@
 	draining := upstream(0, "a", "r1")
 	draining.State = membership.Draining
 	p.Update([]membership.Member{draining, upstream(1, "a", "r1")})
-	e, ok := p.Choose(_start, "s", _v1, nil)
+	e, ok := p.Choose(_start, _query)
 	assert.Assert(t, ok)
 	assert.Equal(t, e.Member.ID, membership.NodeID("a1"))
-	_, ok = p.Choose(_start, "s", _v1, []*Endpoint{e})
+	_, ok = p.Choose(_start, Query{Service: "s", Versions: _v1, Tried: []*Endpoint{e}})
 	assert.Assert(t, !ok)
 	// What was learnt of an upstream outlives an update.
 	e.Begin()
 	p.Update([]membership.Member{draining, upstream(1, "a", "r1")})
-	same, _ := p.Choose(_start, "s", _v1, nil)
+	same, _ := p.Choose(_start, _query)
 	assert.Assert(t, same == e)
 }
 
@@ -224,7 +251,7 @@
 			p.Update(members)
 			b.ReportAllocs()
 			for b.Loop() {
-				p.Choose(_start, "s", _v1, nil)
+				p.Choose(_start, _query)
 			}
 		})
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -32,6 +32,12 @@
 // _slackMost bounds the retries beside the calls in a window.
 const _slackMost = 1_000_000
 
+// The bounds of the growth of the heap, in per cent.
+const (
+	_gcLeast = 5
+	_gcMost  = 10_000
+)
+
 // The bounds of the memory limit, in megabytes.
 const (
 	_memoryLeast = 32
@@ -58,6 +64,8 @@
 	// MemoryLimit is the memory in bytes that the process may use; 0 for the
 	// default.
 	MemoryLimit int64
+	// GCPercent is the growth of the heap after which garbage is collected.
+	GCPercent int
 	Seeds       []netip.AddrPort
 	Upstream    node.Upstream
 	Periods     node.Periods
@@ -104,6 +112,7 @@
 		{name: "platform-protocol", defaultValue: _protocolNative, help: "how the platform speaks: native for the product's own object API, hosted for the users' platform"},
 		{name: "announce-address", help: "IP:port at which a hosted node's upstream announces itself"},
 		{name: "memory-limit", defaultValue: "128", help: "megabytes of memory that the process may use"},
+		{name: "gc-percent", defaultValue: "400", help: "growth of the heap, in per cent, after which garbage is collected; lower takes less memory and more processor time"},
 		{name: "seeds", help: "peer addresses to ask first, for starts while the platform is down"},
 		{name: "service", help: "service of this VM's upstream; empty for a node without one"},
 		{name: "version", help: "version of this VM's upstream"},
@@ -242,6 +251,7 @@
 		s.Upstream.Announced = true
 	}
 	s.MemoryLimit = int64(r.number("memory-limit", _memoryLeast, _memoryMost)) << 20
+	s.GCPercent = r.number("gc-percent", _gcLeast, _gcMost)
 	s.Membership.Suspicion = r.duration("suspicion-timeout")
 	s.Lease = leaseTiming(r.duration("lease-lifetime"))
 	r.distinct(s)
