--- a/move/book.go
+++ b/move/book.go
@@ -75,6 +75,18 @@
 	return orders
 }
 
+// UnderWayOf returns the ID of the order that is being carried out for a
+// service, empty when none is.
+func (b *Book) UnderWayOf(service config.ServiceName) string {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	k, ok := b.orders[service]
+	if !ok || k.order.Progress.State.Ended() {
+		return ""
+	}
+	return k.order.ID()
+}
+
 // Serving takes in how many upstreams of each version of a service there are.
 // Without an order the version that was there first goes on serving, until
 // none of its upstreams is left.
--- a/move/pilot.go
+++ b/move/pilot.go
@@ -49,7 +49,7 @@
 	// _unclearMost is how many of the candidate's calls may fail while the
 	// version before fails as often. A bad version is to be out soon after its
 	// 50th bad answer.
-	_unclearMost = 40
+	_unclearMost = 30
 )
 
 // unclear reports whether too many calls failed for the version to be kept
--- a/node/announced.go
+++ b/node/announced.go
@@ -75,6 +75,11 @@
 		m.Version = known.Version
 		m.Slots = known.Slots
 	})
+	n.tellSoon()
+}
+
+// tellSoon makes tellNews tell all members what this node knows.
+func (n *Node) tellSoon() {
 	select {
 	case n.news <- struct{}{}:
 	default:
--- a/node/node.go
+++ b/node/node.go
@@ -300,6 +300,7 @@
 		Holder:      n.holder,
 		Replica:     n.replica,
 		Quarantines: n.quarantines,
+		Active:      n.isActive,
 		Clients:     n.clients,
 		Logger:      n.d.Logger,
 		Now:         n.d.Now,
@@ -382,7 +383,11 @@
 // call, never the candidate of a rollout.
 func (n *Node) Versions(t *routing.Target, s config.Service) (first, second config.VersionSet) {
 	if s.AnyVersion {
-		return n.book.Choose(s.Name, t.Draw())
+		first, second = n.book.Choose(s.Name, t.Draw())
+		if n.quarantines.Everywhere(n.book.UnderWayOf(s.Name)) {
+			return second, second
+		}
+		return first, second
 	}
 	first = config.VersionSet{Only: t.Version(s, n.quarantines.Excluded(n.d.Zone, s))}
 	if s.Rollout.ID == "" {
--- a/node/orders.go
+++ b/node/orders.go
@@ -12,6 +12,7 @@
 	"lentilferry.example/lentilferry/membership"
 	"lentilferry.example/lentilferry/move"
 	"lentilferry.example/lentilferry/objectstore"
+	"lentilferry.example/lentilferry/quarantine"
 	"lentilferry.example/lentilferry/wire"
 )
 
@@ -20,6 +21,8 @@
 type Orders interface {
 	// Next waits for changes and returns the orders that have changed.
 	Next(ctx context.Context) ([]move.Order, error)
+	// Read returns a service's order as it is stored now.
+	Read(ctx context.Context, service config.ServiceName) (move.Order, error)
 	// Save stores progress with an order that must not have changed since.
 	Save(ctx context.Context, o move.Order, p move.Progress) objectstore.WriteOutcome
 }
@@ -96,6 +99,8 @@
 	p := o.Progress
 	isCandidate := version == o.Candidate
 	switch {
+	case isCandidate && n.quarantines.Everywhere(o.ID()) && !p.State.Ended():
+		return "the version is quarantined", false
 	case isCandidate && (p.State == move.Reverted || p.State == move.Ordered || p.State == move.Running && p.Share == 0):
 		return "the version has no share", false
 	case isCandidate && p.State == move.Running && n.d.Now().Sub(seen) > _pilotHeard && n.failsAlone():
@@ -204,13 +209,16 @@
 	if !write {
 		return
 	}
+	if next.State == move.Reverted {
+		n.quarantineEverywhere(u.Order, next.Reason)
+	}
 	outcome := n.d.Orders.Save(ctx, u.Order, next)
 	n.d.Logger.Info("Order decided on", "service", u.Order.Service, "candidate", u.Order.Candidate, "revision", u.Order.Revision,
 		"state", next.State.String(), "share", next.Share.Percent(), "left", next.Left, "epoch", next.Epoch, "reason", next.Reason,
 		"result", outcome.Result.String())
 	if outcome.Result != objectstore.Written {
-		// What is stored is learnt by the watch; the next step decides anew.
 		delete(n.pilots, id)
+		n.readOrder(ctx, u.Order.Service)
 		return
 	}
 	saved := u.Order
@@ -219,6 +227,35 @@
 	n.learnOrder(saved)
 }
 
+// quarantineEverywhere takes a candidate out of all traffic before that is
+// stored: peers can be told when the platform can't.
+func (n *Node) quarantineEverywhere(o move.Order, reason string) {
+	news := n.quarantines.Add(quarantine.Quarantine{
+		Rollout: o.ID(),
+		Zone:    quarantine.AllZones,
+		Service: o.Service,
+		Version: o.Candidate,
+		Reason:  reason,
+	})
+	if !news {
+		return
+	}
+	n.d.Logger.Info("Quarantined version", "service", o.Service, "version", o.Candidate, "reason", reason)
+	n.settleUpstream(n.d.Now())
+	n.tellSoon()
+}
+
+// readOrder learns an order as it is stored, after a write that another one
+// came before or whose answer was lost: the watch may be behind.
+func (n *Node) readOrder(ctx context.Context, service config.ServiceName) {
+	o, err := n.d.Orders.Read(ctx, service)
+	if err != nil {
+		n.d.Logger.Info("Order not read", "service", service, "cause", err.Error())
+		return
+	}
+	n.learnOrder(o)
+}
+
 func (n *Node) orderInputs(now time.Time, u move.Under) move.Inputs {
 	id := u.Order.ID()
 	detector, ok := n.moveDetectors[id]
--- a/node/steps.go
+++ b/node/steps.go
@@ -98,13 +98,13 @@
 		n.rndMu.Lock()
 		n.routes.Store(routing.NewTable(current.Config, n.routes.Load(), n.rnd))
 		n.rndMu.Unlock()
-		n.quarantines.Prune(current.Config.Services)
 		n.followRollout(current.Config)
 		n.table.Runs(current.Manifest.Number)
 		n.d.Logger.Info("Revision in force", "revision", current.Manifest.Number)
 	}
 	if generation := n.table.Generation(); generation != n.pooled || now.Sub(n.pooledAt) >= _poolEvery {
 		n.pooled, n.pooledAt = generation, now
+		n.quarantines.Prune(n.isActive)
 		n.pool.Update(n.reachable(now))
 		for _, service := range current.Config.Services {
 			if service.AnyVersion {
@@ -114,6 +114,22 @@
 	}
 }
 
+// isActive reports whether a rollout or an order is under way.
+func (n *Node) isActive(rollout string) bool {
+	for _, u := range n.book.UnderWay() {
+		if u.Order.ID() == rollout {
+			return true
+		}
+	}
+	current := n.holder.Current()
+	if current == nil {
+		return false
+	}
+	return slices.ContainsFunc(current.Config.Services, func(s config.Service) bool {
+		return s.Rollout.ID != "" && s.Rollout.ID == rollout
+	})
+}
+
 // reachable returns the members for calls. Those of a zone that was not heard
 // of for a while count as suspected: they are chosen when nothing else is left.
 func (n *Node) reachable(now time.Time) []membership.Member {
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -43,9 +43,11 @@
 	Holder      *revision.Holder
 	Replica     *distribution.Replica
 	Quarantines *quarantine.Set
-	Clients     Caller
-	Logger      klog.Logger
-	Now         func() time.Time
+	// Active reports whether a rollout is under way, as far as this node knows.
+	Active  func(rollout string) bool
+	Clients Caller
+	Logger  klog.Logger
+	Now     func() time.Time
 }
 
 // Gossip probes members, passes membership on and fetches newer revisions.
@@ -143,22 +145,12 @@
 	}
 	g.d.Table.Heard(now, wire.DecodeDigests(w.digests))
 	for _, q := range wire.DecodeQuarantines(w.quarantines) {
-		if g.active(q) && g.d.Quarantines.Add(q) {
+		if g.d.Active(q.Rollout) && g.d.Quarantines.Add(q) {
 			g.d.Logger.Info("Quarantined version", "zone", q.Zone, "service", q.Service, "version", q.Version, "reason", q.Reason)
 		}
 	}
 }
 
-// active reports whether the quarantine's rollout is under way here.
-func (g *Gossip) active(q quarantine.Quarantine) bool {
-	current := g.d.Holder.Current()
-	if current == nil {
-		return false
-	}
-	service, ok := current.Config.Service(q.Service)
-	return ok && service.Rollout.ID == q.Rollout
-}
-
 // Answer answers an exchange that a peer began.
 func (g *Gossip) Answer(request *lentilferryv1.ExchangeRequest) *lentilferryv1.ExchangeResponse {
 	g.absorb(peerState{
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -13,7 +13,11 @@
 	"lentilferry.example/lentilferry/membership"
 )
 
-// Quarantine takes one candidate out of one zone's traffic.
+// AllZones is the zone of a quarantine that holds everywhere.
+const AllZones membership.Zone = ""
+
+// Quarantine takes one candidate out of one zone's traffic, or out of that of
+// all zones.
 type Quarantine struct {
 	Rollout string
 	Zone    membership.Zone
@@ -67,24 +71,26 @@
 	return true
 }
 
-// Prune drops the quarantines of rollouts that no service carries. One of a
-// rollout that this node's configuration does not know yet comes again with
-// the next exchange.
-func (s *Set) Prune(services []config.Service) {
+// Prune drops the quarantines of rollouts that are not active. One of a
+// rollout that this node does not know of yet comes again with the next
+// exchange.
+func (s *Set) Prune(isActive func(rollout string) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	active := make(map[string]bool, len(services))
-	for _, service := range services {
-		active[service.Rollout.ID] = true
-	}
 	for k := range s.held {
-		if !active[k.rollout] {
+		if !isActive(k.rollout) {
 			delete(s.held, k)
 		}
 	}
 	s.publish()
 }
 
+// Everywhere reports whether a rollout's candidate is quarantined in all zones.
+func (s *Set) Everywhere(rollout string) bool {
+	_, ok := (*s.view.Load())[key{rollout: rollout, zone: AllZones}]
+	return ok
+}
+
 // Excluded returns the version that is quarantined for a service in a zone,
 // empty when none is.
 func (s *Set) Excluded(zone membership.Zone, service config.Service) config.VersionName {
