--- a/node/source.go
+++ b/node/source.go
@@ -17,6 +17,10 @@
 	// _sourcePauseMost bounds the pause after failed reads: a change is to be
 	// in force within 2.5 s, also right after an outage.
 	_sourcePauseMost = time.Second
+	// _missedWithin is how soon a read that follows one without news has to
+	// return for its news to be older than it: the read before missed it, and
+	// those of other nodes may miss it still.
+	_missedWithin = 150 * time.Millisecond
 )
 
 // followSource takes over each newer configuration that the source gives.
@@ -24,8 +28,9 @@
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval = _firstPause
 	pause.MaxInterval = _sourcePauseMost
-	lost := false
+	lost, waited := false, false
 	for ctx.Err() == nil {
+		began := n.d.Now()
 		snapshot, err := n.d.Source.Next(ctx)
 		switch {
 		case ctx.Err() != nil:
@@ -45,17 +50,21 @@
 		}
 		lost = false
 		pause.Reset()
-		if snapshot != nil {
-			n.take(snapshot)
+		if snapshot != nil && n.take(snapshot) && waited && n.d.Now().Sub(began) < _missedWithin {
+			n.d.Logger.Info("Configuration was missed", "revision", snapshot.Manifest.Number, "note", "telling all members")
+			n.tellSoon()
 		}
+		waited = snapshot == nil
 		wait(ctx, _sourcePause)
 	}
 }
 
-func (n *Node) take(snapshot *revision.Snapshot) {
+// take takes over a configuration and reports whether it was news.
+func (n *Node) take(snapshot *revision.Snapshot) bool {
 	result := n.holder.Offer(snapshot)
 	n.d.Logger.Info("Configuration read", "revision", snapshot.Manifest.Number, "applied", result == revision.Applied,
 		"inForce", n.holder.Number(), "routes", len(snapshot.Config.Routes))
+	return result == revision.Applied
 }
 
 // followRosters keeps this zone's first contacts and looks for members that
