lentilferryd: Write structured log lines to standard output, bounded and unblocked

Cause: lines were klog's text on standard error, written by whoever had something to say, without a bound. Each try names the call's id, the versions allowed, the upstream's reported load and its age, and the time left.

--- a/call/ingress.go
+++ b/call/ingress.go
@@ -255,7 +255,7 @@
 		verdict := c.try(ctx, endpoint, attempt)
 		c.log(endpoint, attempt, verdict, c.ingress.d.Now().Sub(began))
 		if verdict.Outcome == Answered {
-			c.ingress.d.Metrics.count(verdict)
+			c.ended(verdict)
 			return
 		}
 		c.note(verdict)
@@ -270,10 +270,16 @@
 	}
 	c.ingress.d.Logger.Info("Gave up call", "call", c.id, "route", c.target.Route.Name, "versions", c.versions[0].String(),
 		"tried", len(c.tried), "sent", c.sent, "outcome", last.Outcome.String(), "reason", last.Reason, "retryAfter", last.RetryAfter)
-	c.ingress.d.Metrics.count(last)
+	c.ended(last)
 	last.write(c.writer, c.ingress.d.Dialect)
 }
 
+func (c *ingressCall) ended(v Verdict) {
+	m := c.ingress.d.Metrics
+	m.count(v)
+	m.latency.add(c.target.Route.Name, v.Outcome, c.ingress.d.Now().Sub(c.began))
+}
+
 const (
 	// _soonestReturn is the least time after which a refused call is worth
 	// sending again: what refused it does not pass at once.
@@ -547,14 +553,24 @@
 }
 
 func (c *ingressCall) log(endpoint *routing.Endpoint, attempt int, v Verdict, took time.Duration) {
-	c.ingress.d.Logger.Info("Routed call",
+	logger := c.ingress.d.Logger
+	if v.Outcome == Answered && attempt == 1 {
+		// The lines of calls that went as they should are the ones left out
+		// under load.
+		logger = logger.V(1)
+	}
+	logger.Info("Routed call",
 		"call", c.id,
 		"route", c.target.Route.Name,
+		"service", c.service.Name,
+		"versions", c.versions[0].String(),
 		"version", endpoint.Member.Version,
 		"upstream", endpoint.Member.ID,
+		"load", endpoint.Reported(c.ingress.d.Now()),
 		"attempt", attempt,
 		"outcome", v.Outcome.String(),
 		"reason", v.Reason,
+		"left", c.deadline.Sub(c.ingress.d.Now()),
 		"took", took,
 	)
 }
--- a/call/metrics.go
+++ b/call/metrics.go
@@ -9,18 +9,21 @@
 	outcomes *expvar.Map
 	reasons  *expvar.Map
 	retries  *expvar.Int
+	// latency holds how long calls took, by route and outcome.
+	latency *latencies
 }
 
 // NewMetrics returns counters below the given map, under the names
-// NAMEOutcomes, NAMEReasons and NAMERetries.
+// NAMEOutcomes, NAMEReasons, NAMERetries and NAMELatencyMillis.
 func NewMetrics(parent *expvar.Map, name string) *Metrics {
-	m := &Metrics{outcomes: new(expvar.Map), reasons: new(expvar.Map), retries: new(expvar.Int)}
+	m := &Metrics{outcomes: new(expvar.Map), reasons: new(expvar.Map), retries: new(expvar.Int), latency: newLatencies()}
 	for _, o := range []Outcome{Answered, NotRun, Unknown} {
 		m.outcomes.Add(o.String(), 0)
 	}
 	parent.Set(name+"Outcomes", m.outcomes)
 	parent.Set(name+"Reasons", m.reasons)
 	parent.Set(name+"Retries", m.retries)
+	parent.Set(name+"LatencyMillis", expvar.Func(m.latency.summary))
 	return m
 }
 
--- /dev/null
+++ b/common/logs/logs_test.go
@@ -0,0 +1,120 @@
+package logs
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var _start = time.Unix(1_800_000_000, 0)
+
+// written runs a writer over the given lines and returns what it wrote.
+func written(t *testing.T, w *Writer) []map[string]any {
+	t.Helper()
+	var out bytes.Buffer
+	stop := make(chan struct{})
+	close(stop)
+	w.Run(&out, stop)
+	var lines []map[string]any
+	for text := range strings.SplitSeq(strings.TrimSpace(out.String()), "\n") {
+		var line map[string]any
+		assert.NilError(t, json.Unmarshal([]byte(text), &line), text)
+		lines = append(lines, line)
+	}
+	return lines
+}
+
+func TestLines(t *testing.T) {
+	w := New(DefaultLimits(), func() time.Time { return _start })
+	l := NewLogger(w).WithValues("node", "n\"1")
+	l.Info("Refused call", "call", "a1", "left", 1500*time.Millisecond, "tried", 2, "known", true, "cause", errors.New("x"))
+	l.Error(errors.New("broken\n"), "Not stored")
+	lines := written(t, w)
+	assert.Equal(t, lines[0]["message"], "Refused call")
+	assert.Equal(t, lines[0]["node"], "n\"1")
+	assert.Equal(t, lines[0]["left"], 1500.0)
+	assert.Equal(t, lines[0]["tried"], 2.0)
+	assert.Equal(t, lines[0]["cause"], "x")
+	assert.Equal(t, lines[1]["level"], "error")
+	assert.Equal(t, lines[1]["cause"], "broken\n")
+}
+
+// Routine lines are bounded, others are kept, and what was left out is said.
+func TestRoutineIsBounded(t *testing.T) {
+	now := _start
+	w := New(Limits{RoutinePerSecond: 10}, func() time.Time { return now })
+	l := NewLogger(w)
+	for range 100 {
+		l.V(1).Info("Routed call")
+	}
+	for range 20 {
+		l.Info("Refused call")
+	}
+	now = now.Add(time.Second)
+	l.V(1).Info("Routed call")
+	lines := written(t, w)
+	counts := map[any]int{}
+	for _, line := range lines {
+		counts[line["message"]]++
+	}
+	assert.Equal(t, counts["Routed call"], 11)
+	assert.Equal(t, counts["Refused call"], 20)
+	assert.Equal(t, w.LeftOut(), uint64(90))
+	var told float64
+	for _, line := range lines {
+		if n, ok := line["linesLeftOut"].(float64); ok {
+			told += n
+		}
+	}
+	assert.Equal(t, told, 90.0)
+}
+
+// stuck is an output that takes nothing until it is released.
+type stuck struct{ release chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return len(p), nil
+}
+
+// An output that does not drain never keeps a caller waiting.
+func TestStuckOutputDoesNotBlock(t *testing.T) {
+	w := New(DefaultLimits(), func() time.Time { return _start })
+	out := stuck{release: make(chan struct{})}
+	stop := make(chan struct{})
+	var running sync.WaitGroup
+	running.Go(func() { w.Run(out, stop) })
+	l := NewLogger(w)
+	const lines = 10 * _queueLines
+	began := time.Now()
+	for range lines {
+		l.Info("Refused call", "call", "a1")
+	}
+	assert.Assert(t, time.Since(began) < 5*time.Second)
+	assert.Assert(t, w.LeftOut() > 0 && w.LeftOut() < lines)
+	close(out.release)
+	close(stop)
+	running.Wait()
+}
+
+func BenchmarkLine(b *testing.B) {
+	w := New(Limits{RoutinePerSecond: 1 << 30}, time.Now)
+	l := NewLogger(w).WithValues("node", "n1")
+	stop := make(chan struct{})
+	go w.Run(discard{}, stop)
+	defer close(stop)
+	b.ReportAllocs()
+	for b.Loop() {
+		l.V(1).Info("Routed call", "call", "12c59ec20177c12e", "route", "r-vytb9z3", "attempt", 1, "outcome", "answered", "took", time.Millisecond)
+	}
+}
+
+type discard struct{}
+
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
--- a/lentilferryd/main.go
+++ b/lentilferryd/main.go
@@ -14,6 +14,7 @@
 	"os/signal"
 	"runtime/debug"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 
@@ -25,6 +26,7 @@
 	"lentilferry.example/lentilferry/common"
 	"lentilferry.example/lentilferry/common/dial"
 	"lentilferry.example/lentilferry/common/faults"
+	"lentilferry.example/lentilferry/common/logs"
 	"lentilferry.example/lentilferry/node"
 	"lentilferry.example/lentilferry/objectstore"
 	"lentilferry.example/lentilferry/operator"
@@ -73,11 +75,12 @@
 		fmt.Print(s)
 		return _exitDone
 	}
-	configureLogs(s.Verbosity)
+	writer, flush := startLogs(s.Verbosity)
+	defer flush()
 	debug.SetGCPercent(s.GCPercent)
 	debug.SetMemoryLimit(int64(_memoryPart * float64(s.MemoryLimit)))
-	defer klog.Flush()
-	if err := serve(s); err != nil {
+	if err := serve(s, writer); err != nil {
+		klog.ErrorS(err, "Stopped")
 		fmt.Fprintln(os.Stderr, "lentilferryd:", err)
 		return _exitFailed
 	}
@@ -96,35 +99,49 @@
 	}
 }
 
-func configureLogs(verbosity int) {
+// startLogs sends log lines to standard output and returns a function that
+// writes what is left of them.
+func startLogs(verbosity int) (*logs.Writer, func()) {
+	writer := logs.New(logs.DefaultLimits(), time.Now)
+	stop := make(chan struct{})
+	var running sync.WaitGroup
+	running.Go(func() { writer.Run(os.Stdout, stop) })
+	klog.SetLogger(logs.NewLogger(writer))
+	setVerbosity(verbosity)
+	return writer, func() {
+		close(stop)
+		running.Wait()
+	}
+}
+
+func setVerbosity(verbosity int) {
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(flags)
 	// The level was checked with the settings.
 	_ = flags.Set("v", strconv.Itoa(verbosity))
-	_ = flags.Set("logtostderr", "false")
-	klog.SetOutput(os.Stdout)
 }
 
-func serve(s settings.Settings) error {
+func serve(s settings.Settings, writer *logs.Writer) error {
 	ctx := context.Background()
 	listeners, err := listen(ctx, s)
 	if err != nil {
 		return err
 	}
 	d := node.Dependencies{
-		ID:         s.ID,
-		Region:     s.Region,
-		Zone:       s.Zone,
-		Peer:       s.PeerAddress,
-		Upstream:   s.Upstream,
-		Seeds:      s.Seeds,
-		Periods:    s.Periods,
-		Membership: s.Membership,
-		Lease:      s.Lease,
-		Retries:    s.Retries,
-		Listeners:  listeners,
-		Logger:     klog.Background().WithValues("node", s.ID),
-		Now:        time.Now,
+		ID:          s.ID,
+		Region:      s.Region,
+		Zone:        s.Zone,
+		Peer:        s.PeerAddress,
+		Upstream:    s.Upstream,
+		Seeds:       s.Seeds,
+		Periods:     s.Periods,
+		Membership:  s.Membership,
+		Lease:       s.Lease,
+		Retries:     s.Retries,
+		Listeners:   listeners,
+		Logger:      klog.Background().WithValues("node", s.ID),
+		Now:         time.Now,
+		LogsLeftOut: writer.LeftOut,
 		Operator: func(n *node.Node) (string, http.Handler) {
 			return operator.New(n, time.Now).Handler()
 		},
@@ -137,7 +154,9 @@
 	defer cancel()
 	go handleSignals(n, cancel)
 	klog.InfoS("Listening", "node", s.ID, "version", common.Version, "calls", s.CallAddress, "peers", s.PeerAddress, "admin", s.AdminAddress)
-	return n.Run(ctx)
+	err = n.Run(ctx)
+	klog.InfoS("Stopped", "node", s.ID)
+	return err
 }
 
 // connect gives the node what it needs of the platform that it runs on.
@@ -202,10 +221,10 @@
 func reload() {
 	s, _, err := settings.Load(os.Args[1:])
 	if err != nil {
-		klog.InfoS("Settings not reloaded", "cause", err.Error())
+		klog.InfoS("Settings not reloaded", "cause", err.Error(), "note", "the settings before stay in force")
 		return
 	}
-	configureLogs(s.Verbosity)
+	setVerbosity(s.Verbosity)
 	klog.InfoS("Settings reloaded", "verbosity", s.Verbosity, "note", "other settings take effect at the next start")
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -148,6 +148,9 @@
 	// Retries bounds the retries of each service; the zero value takes the
 	// default.
 	Retries retry.Limits
+	// LogsLeftOut returns how many log lines were left out; nil where lines
+	// are never left out.
+	LogsLeftOut func() uint64
 	// Services are served beside the listeners.
 	Services []Service
 	Logger   klog.Logger
@@ -180,6 +183,7 @@
 	// it takes them.
 	keptOut string
 	gate    *admission.Gate
+	record  *identity.Record
 	owner   *call.Owner
 	ingress *call.Ingress
 	pool    *routing.Pool
@@ -316,6 +320,7 @@
 	toUpstream, toPeers := call.NewUpstreamClient(idle, n.d.Dialect), call.NewForwardTransport()
 	n.toUpstream = toUpstream
 	n.transports = append(n.transports, toUpstream, toPeers)
+	n.record = identity.New(now, config.MaxTimeout, _identitiesMost)
 	n.gate = admission.New(admission.DefaultLimits(slots))
 	n.owner = call.NewOwner(call.OwnerDependencies{
 		Self:      n.table.Self,
@@ -326,7 +331,7 @@
 		// An upstream that announces itself may end answers with their connection.
 		UnboundedAnswers: n.announced != nil,
 		Gate:             n.gate,
-		Record:           identity.New(now, config.MaxTimeout, _identitiesMost),
+		Record:           n.record,
 		Observer:         n.recorder,
 		Metrics:          call.NewMetrics(n.vars, "owner"),
 		Logger:           n.d.Logger,
--- a/node/source.go
+++ b/node/source.go
@@ -30,7 +30,7 @@
 	pause.MaxInterval = _sourcePauseMost
 	lost, waited := false, false
 	for ctx.Err() == nil {
-		began := n.d.Now()
+		began, before := n.d.Now(), n.holder.Number()
 		snapshot, err := n.d.Source.Next(ctx)
 		switch {
 		case ctx.Err() != nil:
@@ -50,7 +50,7 @@
 		}
 		lost = false
 		pause.Reset()
-		if snapshot != nil && n.take(snapshot) && waited && n.d.Now().Sub(began) < _missedWithin {
+		if snapshot != nil && n.take(snapshot) && before != 0 && waited && n.d.Now().Sub(began) < _missedWithin {
 			n.d.Logger.Info("Configuration was missed", "revision", snapshot.Manifest.Number, "note", "telling all members")
 			n.tellSoon()
 		}
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -74,6 +75,17 @@
 	ejectedUntil time.Time
 }
 
+// Reported returns the load that the upstream's owner last reported and how
+// old the report is, as it stands in logs.
+func (e *Endpoint) Reported(now time.Time) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.loadedAt.IsZero() {
+		return "none"
+	}
+	return fmt.Sprintf("%d/%d calls of %s, %s old", e.load.Calls, e.load.Slots, e.load.Work, now.Sub(e.loadedAt).Round(time.Millisecond))
+}
+
 // Begin counts a call to the upstream. The call's End must follow.
 func (e *Endpoint) Begin() {
 	e.inFlight.Add(1)
