--- a/commands/commands.go
+++ b/commands/commands.go
@@ -180,6 +180,7 @@
 		c.watchCommand(flags),
 		c.configCommand(flags),
 		c.membersCommand(flags),
+		c.explainCommand(flags),
 		c.versionCommand(flags),
 	}
 	return root
--- /dev/null
+++ b/commands/explain.go
@@ -0,0 +1,191 @@
+package commands
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v4"
+)
+
+// _logLineMost bounds one log line that is read, in bytes.
+const _logLineMost = 1 << 20
+
+// logLine is one structured log line. Its own fields come first in a story, the
+// others as they stand.
+type logLine struct {
+	time    string
+	node    string
+	message string
+	fields  map[string]any
+}
+
+// explainCommand tells the story of one call from the logs of the nodes.
+func (c *cli) explainCommand(parent *ff.FlagSet) *ff.Command {
+	return &ff.Command{
+		Name:      "explain",
+		Usage:     "lentilferry explain CALL [FILE ...]",
+		ShortHelp: "tell a call's story from the nodes' log files, or from standard input",
+		LongHelp: `Prints what each node decided on the call and on the calls that its upstream
+made for it, in order, what was known at each decision, and how the call ended.`,
+		Flags: ff.NewFlagSet("explain").SetParent(parent),
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) == 0 {
+				return errors.Wrap(errUsage, "explain needs the call's id, as the nodes log it under \"call\"")
+			}
+			return c.explain(args[0], args[1:])
+		},
+	}
+}
+
+func (c *cli) explain(call string, files []string) error {
+	story := newStory(call)
+	if len(files) == 0 {
+		if err := story.read(os.Stdin); err != nil {
+			return errors.Wrap(err, "standard input")
+		}
+	}
+	for _, name := range files {
+		if err := story.readFile(name); err != nil {
+			return err
+		}
+	}
+	if len(story.lines) == 0 {
+		return errors.Wrapf(errUsage, "no line of the logs names call %s; lines of calls that went well are left out first, see linesLeftOut", call)
+	}
+	story.print(c.env.Stdout)
+	return nil
+}
+
+// story collects the lines about one call.
+type story struct {
+	call  string
+	lines []logLine
+	// skipped counts the lines that are not structured.
+	skipped int
+}
+
+func newStory(call string) *story {
+	return &story{call: call}
+}
+
+func (s *story) readFile(name string) error {
+	file, err := os.Open(name) //nolint:gosec // The operator names the file.
+	if err != nil {
+		return errors.Wrap(errUsage, err.Error())
+	}
+	defer func() { _ = file.Close() }()
+	return errors.Wrap(s.read(file), name)
+}
+
+// read takes in the lines of one log. What comes before a line's brace, such as
+// the name of a host, is passed over.
+func (s *story) read(r io.Reader) error {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, _logLineMost)
+	for scanner.Scan() {
+		text := scanner.Text()
+		if !strings.Contains(text, s.call) {
+			continue
+		}
+		start := strings.IndexByte(text, '{')
+		if start < 0 {
+			s.skipped++
+			continue
+		}
+		var fields map[string]any
+		if err := json.Unmarshal([]byte(text[start:]), &fields); err != nil {
+			s.skipped++
+			continue
+		}
+		s.take(fields)
+	}
+	return errors.Wrap(scanner.Err(), "read the log")
+}
+
+// take keeps a line that is about the call or about one made for it, whose ID
+// begins with the call's.
+func (s *story) take(fields map[string]any) {
+	id, _ := fields["call"].(string)
+	if id != s.call && !strings.HasPrefix(id, s.call+".") {
+		return
+	}
+	line := logLine{fields: fields}
+	for name, into := range map[string]*string{"time": &line.time, "node": &line.node, "message": &line.message} {
+		*into, _ = fields[name].(string)
+		delete(fields, name)
+	}
+	delete(fields, "level")
+	s.lines = append(s.lines, line)
+}
+
+func (s *story) print(w io.Writer) {
+	slices.SortStableFunc(s.lines, func(a, b logLine) int { return strings.Compare(a.time, b.time) })
+	for _, line := range s.lines {
+		fmt.Fprintf(w, "%s  %-24s %s", line.time, line.node, line.message)
+		if id := line.fields["call"]; id != s.call {
+			fmt.Fprintf(w, " (made for it: %v)", id)
+		}
+		fmt.Fprintln(w)
+		delete(line.fields, "call")
+		for _, name := range sortedNames(line.fields) {
+			fmt.Fprintf(w, "    %s: %v\n", name, line.fields[name])
+		}
+	}
+	if s.skipped > 0 {
+		fmt.Fprintf(w, "%d lines name the call and can't be read\n", s.skipped)
+	}
+	fmt.Fprintf(w, "cause: %s\n", s.cause())
+}
+
+func sortedNames(fields map[string]any) []string {
+	names := make([]string, 0, len(fields))
+	for name := range fields {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// _causes says in a sentence what the reasons of ended calls mean.
+var _causes = map[string]string{
+	"too-late":         "no upstream could have run it within its time: all slots were taken by calls that go before it",
+	"queue-full":       "too many calls waited at each upstream that was asked",
+	"draining":         "the upstreams that were asked take no new calls: they leave, or their version has no share",
+	"no-upstream":      "no upstream of the allowed versions takes calls",
+	"no-route":         "the configuration in force on the node has no route for it",
+	"no-config":        "the node had no configuration yet",
+	"unreachable":      "the owner of the upstream, or the upstream, took no connection",
+	"wrong-owner":      "the upstream's node had restarted since it was chosen",
+	"upstream-refused": "the upstream itself said that it did not run it",
+	"deadline":         "its time ended while the upstream ran it, or while its answer was awaited",
+	"broken":           "the connection broke after it was sent, so that it may have been run",
+	"canceled":         "the caller went away",
+	"duplicate":        "it had arrived before",
+}
+
+// cause names why the call ended as it did, by its last line.
+func (s *story) cause() string {
+	for i := len(s.lines) - 1; i >= 0; i-- {
+		line := s.lines[i]
+		outcome, _ := line.fields["outcome"].(string)
+		reason, _ := line.fields["reason"].(string)
+		switch {
+		case outcome == "answered":
+			return fmt.Sprintf("answered by %v, version %v", line.fields["upstream"], line.fields["version"])
+		case reason == "":
+			continue
+		case _causes[reason] != "":
+			return reason + ": " + _causes[reason]
+		default:
+			return reason
+		}
+	}
+	return "the lines do not say how the call ended; its node may have died"
+}
