--- a/node/servers.go
+++ b/node/servers.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -113,8 +114,12 @@
 const (
 	// _leavingTold is how many peers are told at once that this node leaves.
 	_leavingTold = 6
-	// _closeTimeout bounds the closing of the servers after the drain.
-	_closeTimeout = 5 * time.Second
+	// _tellTimeout bounds the telling, so that peers which do not answer do not
+	// use up the time that a planned stop has.
+	_tellTimeout = 300 * time.Millisecond
+	// _closeTimeout bounds the closing of the servers after the drain: no call
+	// is left by then.
+	_closeTimeout = 500 * time.Millisecond
 )
 
 // shutdown waits for a planned stop or the end of the context.
@@ -171,9 +176,11 @@
 	n.table.Announce(n.d.Now(), func(m *membership.Member) { m.State = state })
 }
 
-// tellLeaving tells some peers at once. The last node of a zone tells the other
-// zones itself.
+// tellLeaving tells some peers at once, and waits for them no longer than a
+// moment. The last node of a zone tells the other zones itself.
 func (n *Node) tellLeaving(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, _tellTimeout)
+	defer cancel()
 	peers := n.table.Helpers(n.d.ID, _leavingTold)
 	if len(peers) == 0 {
 		for _, zone := range n.table.OtherZones() {
@@ -182,8 +189,12 @@
 			}
 		}
 	}
+	var telling sync.WaitGroup
 	for _, m := range peers {
-		// Gossip passes it on if a peer can't be told.
-		_ = n.gossip.Exchange(ctx, m.ID, m.Peer)
+		telling.Go(func() {
+			// Gossip passes it on if a peer can't be told.
+			_ = n.gossip.Exchange(ctx, m.ID, m.Peer)
+		})
 	}
+	telling.Wait()
 }
