--- /dev/null
+++ b/move/move_test.go
@@ -0,0 +1,202 @@
+package move
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"lentilferry.example/lentilferry/config"
+	"lentilferry.example/lentilferry/evidence"
+	"lentilferry.example/lentilferry/internal/testseed"
+	"lentilferry.example/lentilferry/membership"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
+
+var _start = time.Unix(1_800_000_000, 0)
+
+const _duration = 14 * time.Second
+
+func order(revision uint64, p Progress) Order {
+	return Order{Service: "desk", Candidate: "v2", Duration: _duration, Revision: revision, Progress: p}
+}
+
+func progress(state State, share config.Share) Progress {
+	return Progress{State: state, Candidate: "v2", Share: share, Left: 10 * time.Second, Pilot: "pilot", Epoch: 1}
+}
+
+// Before its share, and after it was taken back, a version gets nothing; and
+// nothing goes to the version before once the move is complete.
+func TestBookChooses(t *testing.T) {
+	v1, notV2, v2 := config.VersionSet{Only: "v1"}, config.VersionSet{Except: "v2"}, config.VersionSet{Only: "v2"}
+	b := NewBook()
+	b.Serving("desk", map[config.VersionName]int{"v1": 3})
+	b.Serving("desk", map[config.VersionName]int{"v1": 1, "v2": 5})
+	for i, test := range []struct {
+		order *Order
+		point float64
+		first config.VersionSet
+	}{
+		{nil, 0.5, v1},
+		{&Order{Service: "desk", Candidate: "v2", Duration: _duration, Revision: 1}, 0, notV2},
+		{new(order(2, progress(Running, 0))), 0, notV2},
+		{new(order(3, progress(Running, 500))), 0.04, config.VersionSet{Only: "v2", Part: 0.05}},
+		{new(order(4, progress(Running, 500))), 0.06, notV2},
+		{new(order(3, progress(Running, config.FullShare))), 0.06, notV2}, // Older than what is known.
+		{new(order(5, progress(Running, config.FullShare))), 0.99, v2},
+		{new(order(6, progress(Complete, config.FullShare))), 0.99, v2},
+		{new(order(7, progress(Reverted, 0))), 0, notV2},
+	} {
+		if test.order != nil {
+			b.Learn(_start, *test.order)
+		}
+		first, _ := b.Choose("desk", test.point)
+		assert.Equal(t, first, test.first, "case %d", i)
+	}
+}
+
+// An order for another version drops what was decided on the one before.
+func TestNewOrderStartsAnew(t *testing.T) {
+	b := NewBook()
+	b.Learn(_start, order(1, progress(Complete, config.FullShare)))
+	assert.Equal(t, len(b.UnderWay()), 0)
+	next := order(2, progress(Complete, config.FullShare))
+	next.Candidate = "v3"
+	b.Learn(_start, next)
+	u := b.UnderWay()
+	assert.Equal(t, len(u), 1)
+	assert.Equal(t, u[0].Order.Progress.State, Ordered)
+	assert.Equal(t, u[0].Deadline, _start.Add(_duration))
+	b.Serving("desk", map[config.VersionName]int{"v2": 3, "v3": 9})
+	first, _ := b.Choose("desk", 0)
+	assert.DeepEqual(t, first, config.VersionSet{Except: "v3"})
+}
+
+func TestTakeOver(t *testing.T) {
+	fresh := Under{Order: order(1, progress(Running, 500)), Seen: _start}
+	assert.Assert(t, MayDecide(_start, "pilot", -1, fresh))
+	assert.Assert(t, !MayDecide(_start.Add(_takeOverAfter-1), "other", 0, fresh))
+	assert.Assert(t, MayDecide(_start.Add(_takeOverAfter), "other", 0, fresh))
+	assert.Assert(t, !MayDecide(_start.Add(_takeOverAfter), "third", 1, fresh))
+	assert.Assert(t, MayDecide(_start.Add(2*_takeOverAfter), "third", 1, fresh))
+	assert.Assert(t, !MayDecide(_start.Add(time.Hour), "outsider", -1, fresh))
+}
+
+// play moves a service in passed-in time and returns the progress at the end,
+// and how many calls the candidate got. The service has 200 calls a second;
+// the candidate fails the given part of its calls, and both versions the other.
+func play(t *testing.T, failing, common func(at time.Duration) float64, until time.Duration) (Progress, int) {
+	t.Helper()
+	u := Under{Order: order(1, Progress{}).settle(), Seen: _start, Started: _start, Deadline: _start.Add(_duration)}
+	p := NewPilot("pilot", u)
+	detector := evidence.NewUnevenDetector("", "v2", 2.5)
+	const step = 400 * time.Millisecond
+	counts := map[config.VersionName]*evidence.Tally{
+		"v1": {Key: evidence.Key{Version: "v1", Route: "r"}}, "v2": {Key: evidence.Key{Version: "v2", Route: "r"}},
+	}
+	met := map[config.VersionName]float64{}
+	for at := step; at <= until; at += step {
+		now := _start.Add(at)
+		share := float64(u.Order.Progress.Share) / float64(config.FullShare)
+		if u.Order.Progress.State.Ended() {
+			break
+		}
+		for version, part := range map[config.VersionName]float64{"v1": 1 - share, "v2": share} {
+			calls := 200 * step.Seconds() * part
+			bad := common(at)
+			if version == "v2" {
+				bad = max(bad, failing(at))
+			}
+			tally := counts[version]
+			before := int(met[version])
+			met[version] += calls
+			fresh := int(met[version]) - before
+			tally.Calls += uint64(fresh)
+			tally.Failures += uint64(float64(fresh)*bad + 0.5)
+			tally.Latency = evidence.Latency{0, 0, tally.Calls}
+		}
+		reports := []evidence.Report{
+			{From: "old", Sequence: uint64(at), Tallies: []evidence.Tally{*counts["v1"]}},
+			{From: "new", Sequence: uint64(at), Tallies: []evidence.Tally{*counts["v2"]}},
+		}
+		detector.Observe(now, "", reports)
+		in := Inputs{Verdict: detector.Verdict(), Upstreams: []Upstream{
+			{Owner: "old", Version: "v1", TakesWork: true, Warm: true, Heard: now, Applied: u.Order.Revision},
+			{Owner: "new", Version: "v2", TakesWork: true, Warm: at > time.Second, Heard: now, Applied: u.Order.Revision},
+		}}
+		if next, write := p.Decide(now, u, in); write {
+			u.Order.Revision++
+			u.Order.Progress = next
+			u.Seen = now
+		}
+	}
+	return u.Order.Progress, int(met["v2"])
+}
+
+func never(time.Duration) float64 { return 0 }
+
+func TestGoodVersionIsCompleteInTime(t *testing.T) {
+	p, _ := play(t, never, never, _duration)
+	assert.Equal(t, p.State, Complete)
+}
+
+// A bad version is taken back before it had a tenth of the service's calls and
+// fifty more, whenever its fault begins before it has the most of them.
+func TestBadVersionIsTakenBack(t *testing.T) {
+	for _, begins := range []time.Duration{0, 3 * time.Second, 6 * time.Second, 9 * time.Second} {
+		for _, rate := range []float64{1, 0.5, 0.3} {
+			p, met := play(t, func(at time.Duration) float64 {
+				if at < begins {
+					return 0
+				}
+				return rate
+			}, never, _duration)
+			assert.Equal(t, p.State, Reverted, "begins at %s, fails %g", begins, rate)
+			most := int(200*_duration.Seconds()/10) + 50
+			assert.Assert(t, met <= most, "begins at %s, fails %g: %d calls of at most %d", begins, rate, met, most)
+		}
+	}
+}
+
+// While both versions fail alike nothing is raised, and a version whose
+// failures can't be told from the other's is taken back.
+func TestCommonFaultHidesNothing(t *testing.T) {
+	p, met := play(t, never, func(time.Duration) float64 { return 0.5 }, 3*_duration)
+	assert.Equal(t, p.State, Reverted)
+	assert.Assert(t, met < 150, "%d calls", met)
+	// A fault that passes only delays the move.
+	p, _ = play(t, never, func(at time.Duration) float64 {
+		if at > 2*time.Second && at < 4*time.Second {
+			return 0.3
+		}
+		return 0
+	}, _duration)
+	assert.Equal(t, p.State, Complete)
+}
+
+// A move is complete only when no owner of the version before may take a call
+// or has one in flight, whatever the owners report.
+func TestCompleteOnlyWhenNothingIsLeft(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		u := Under{Order: order(9, progress(Running, config.FullShare)), Seen: _start, Started: _start, Deadline: _start.Add(_duration)}
+		p := NewPilot("pilot", u)
+		now := _start.Add(time.Duration(rapid.IntRange(0, 20_000).Draw(t, "now")) * time.Millisecond)
+		in := Inputs{}
+		left := false
+		for i := range rapid.IntRange(0, 5).Draw(t, "upstreams") {
+			one := Upstream{
+				Owner:   membership.NodeID(rune('a' + i)),
+				Version: rapid.SampledFrom([]config.VersionName{"v1", "v2"}).Draw(t, "version"),
+				Heard:   now.Add(-time.Duration(rapid.IntRange(0, 4000).Draw(t, "age")) * time.Millisecond),
+				Applied: uint64(rapid.IntRange(7, 10).Draw(t, "applied")),
+				Running: rapid.IntRange(0, 2).Draw(t, "running"),
+			}
+			left = left || one.Version == "v1" && (one.Applied < 9 || one.Running > 0 || now.Sub(one.Heard) > _heardWithin)
+			in.Upstreams = append(in.Upstreams, one)
+		}
+		next, write := p.Decide(now, u, in)
+		assert.Equal(t, write && next.State == Complete, !left)
+	})
+}
