--- a/commands/explain.go
+++ b/commands/explain.go
@@ -59,8 +59,8 @@
 	if len(story.lines) == 0 {
 		return errors.Wrapf(errUsage, "no line of the logs names call %s; lines of calls that went well are left out first, see linesLeftOut", call)
 	}
-	story.print(c.env.Stdout)
-	return nil
+	_, err := io.WriteString(c.env.Stdout, story.text())
+	return errors.Wrap(err, "write the story")
 }
 
 // story collects the lines about one call.
@@ -125,7 +125,9 @@
 	s.lines = append(s.lines, line)
 }
 
-func (s *story) print(w io.Writer) {
+// text returns the story, oldest line first.
+func (s *story) text() string {
+	w := new(strings.Builder)
 	slices.SortStableFunc(s.lines, func(a, b logLine) int { return strings.Compare(a.time, b.time) })
 	for _, line := range s.lines {
 		fmt.Fprintf(w, "%s  %-24s %s", line.time, line.node, line.message)
@@ -142,6 +144,7 @@
 		fmt.Fprintf(w, "%d lines name the call and can't be read\n", s.skipped)
 	}
 	fmt.Fprintf(w, "cause: %s\n", s.cause())
+	return w.String()
 }
 
 func sortedNames(fields map[string]any) []string {
--- a/commands/explain_test.go
+++ b/commands/explain_test.go
@@ -1,7 +1,6 @@
 package commands
 
 import (
-	"bytes"
 	"strings"
 	"testing"
 
@@ -18,9 +17,7 @@
 func TestExplain(t *testing.T) {
 	s := newStory("a1")
 	assert.NilError(t, s.read(strings.NewReader(_logs)))
-	var out bytes.Buffer
-	s.print(&out)
-	text := out.String()
+	text := s.text()
 	assert.Equal(t, len(s.lines), 3)
 	assert.Assert(t, strings.Index(text, "made for it: a1.b") < strings.Index(text, "12/12 calls"), text)
 	assert.Assert(t, strings.Contains(text, "retryAfter: 812.5"))
--- a/common/logs/logs_test.go
+++ b/common/logs/logs_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -34,7 +35,7 @@
 	w := New(DefaultLimits(), func() time.Time { return _start })
 	l := NewLogger(w).WithValues("node", "n\"1")
 	l.Info("Refused call", "call", "a1", "left", 1500*time.Millisecond, "tried", 2, "known", true, "cause", errors.New("x"))
-	l.Error(errors.New("broken\n"), "Not stored")
+	l.Error(fmt.Errorf("broken%c", 10), "Not stored")
 	lines := written(t, w)
 	assert.Equal(t, lines[0]["message"], "Refused call")
 	assert.Equal(t, lines[0]["node"], "n\"1")
--- a/internal/fakes/fakestore/fakestore.go
+++ b/internal/fakes/fakestore/fakestore.go
@@ -62,8 +62,8 @@
 	forgotten uint64
 	changed   chan struct{}
 	faults    Faults
-	calls      int
-	late       sync.WaitGroup
+	calls     int
+	late      sync.WaitGroup
 }
 
 // New returns an empty store.
--- a/node/servers.go
+++ b/node/servers.go
@@ -28,11 +28,13 @@
 	peers := n.server(n.peerHandler())
 	peers.ConnContext = meter.ConnContext
 	admin := n.server(n.adminHandler())
-	all := []listening{
-		{server: calls, listener: n.d.Listeners.Calls},
-		{server: peers, listener: meter.Listener{Listener: n.d.Listeners.Peers}},
-		{server: admin, listener: n.d.Listeners.Admin},
-	}
+	const ownSockets = 3
+	all := make([]listening, 0, ownSockets+len(n.d.Services))
+	all = append(all,
+		listening{server: calls, listener: n.d.Listeners.Calls},
+		listening{server: peers, listener: meter.Listener{Listener: n.d.Listeners.Peers}},
+		listening{server: admin, listener: n.d.Listeners.Admin},
+	)
 	for _, s := range n.d.Services {
 		all = append(all, listening{server: n.server(s.Handler(n)), listener: s.Listener})
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -65,12 +65,12 @@
 	// default.
 	MemoryLimit int64
 	// GCPercent is the growth of the heap after which garbage is collected.
-	GCPercent int
-	Seeds       []netip.AddrPort
-	Upstream    node.Upstream
-	Periods     node.Periods
-	Membership  membership.Timing
-	Lease       lease.Timing
+	GCPercent  int
+	Seeds      []netip.AddrPort
+	Upstream   node.Upstream
+	Periods    node.Periods
+	Membership membership.Timing
+	Lease      lease.Timing
 	// Retries bounds the retries of each service over all nodes.
 	Retries retry.Limits
 	// Verbosity is klog's level.
