--- a/call/ingress.go
+++ b/call/ingress.go
@@ -79,6 +79,8 @@
 	inFlight sync.WaitGroup
 	// closing is set once callers are to take their connections elsewhere.
 	closing atomic.Bool
+	// ended is set once no further call is taken.
+	ended atomic.Bool
 }
 
 var _ http.Handler = (*Ingress)(nil)
@@ -93,6 +95,11 @@
 	i.closing.Store(true)
 }
 
+// End refuses all further calls as not run. Those that were taken go on.
+func (i *Ingress) End() {
+	i.ended.Store(true)
+}
+
 // Wait returns when all calls have ended.
 func (i *Ingress) Wait() {
 	i.inFlight.Wait()
@@ -100,11 +107,15 @@
 
 // ServeHTTP carries one call from a caller.
 func (i *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	i.inFlight.Add(1)
-	defer i.inFlight.Done()
 	if i.closing.Load() && r.ProtoMajor == 1 {
 		w.Header().Set("Connection", "close")
 	}
+	if i.ended.Load() {
+		i.refuse(w, r, Reason(admission.ReasonDraining))
+		return
+	}
+	i.inFlight.Add(1)
+	defer i.inFlight.Done()
 	now := i.d.Now()
 	a, reason := i.accept(r)
 	if reason != "" {
--- a/call/limits_test.go
+++ b/call/limits_test.go
@@ -318,3 +318,29 @@
 		_ = listener.Close()
 	}
 }
+
+// A node that stops refuses what comes when it no longer has the time to finish
+// it, and finishes what it has taken.
+func TestEndedIngressFinishesWhatItTook(t *testing.T) {
+	release := make(chan struct{})
+	var runs atomic.Int64
+	upstream := serveUpstream(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		runs.Add(1)
+		<-release
+	}))
+	p := newPath(t, _long, upstream)
+	taken := make(chan answer)
+	go func() { taken <- send(t, newRequest(t, http.MethodPost, p.url+"/commands", nil)) }()
+	for runs.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	p.ingress.CloseConnections()
+	p.ingress.End()
+	refused := send(t, newRequest(t, http.MethodPost, p.url+"/commands", nil))
+	assert.Equal(t, refused.outcome, call.NotRun.String())
+	assert.Equal(t, refused.status, http.StatusServiceUnavailable)
+	close(release)
+	assert.Equal(t, (<-taken).status, http.StatusOK)
+	p.ingress.Wait()
+	assert.Equal(t, runs.Load(), int64(1))
+}
--- a/call/path_test.go
+++ b/call/path_test.go
@@ -31,9 +31,10 @@
 
 // path is a caller's ingress and the owners of some upstreams.
 type path struct {
-	url    string
-	owners []*owner
-	pool   *routing.Pool
+	url     string
+	ingress *call.Ingress
+	owners  []*owner
+	pool    *routing.Pool
 	// deadline is the timeout of the routes.
 	deadline time.Duration
 }
@@ -97,6 +98,7 @@
 		Logger:      klog.Logger{},
 		Now:         time.Now,
 	})
+	p.ingress = ingress
 	server := httptest.NewServer(ingress)
 	t.Cleanup(server.Close)
 	p.url = server.URL
--- a/node/servers.go
+++ b/node/servers.go
@@ -146,25 +146,30 @@
 	return errStopped
 }
 
-// drain leaves in order: peers are told, new work is refused as not run, and
-// what is in flight is finished.
+// drain leaves in order: peers are told, callers are told with each answer,
+// after a while new calls are refused as not run, and what is in flight is
+// finished.
 func (n *Node) drain(ctx context.Context) {
 	n.d.Logger.Info("Draining", "node", n.d.ID)
+	over := time.NewTimer(n.d.Periods.DrainAtMost)
+	defer over.Stop()
 	n.lifecycle.Drain()
 	n.announce(membership.Draining)
 	n.gate.Drain()
 	n.ingress.CloseConnections()
+	noticed := time.After(n.d.Periods.LeaveNotice)
 	n.tellLeaving(ctx)
+	<-noticed
+	n.ingress.End()
 	finished := make(chan struct{})
 	go func() {
 		defer close(finished)
-		time.Sleep(n.d.Periods.LeaveNotice)
 		n.owner.Wait()
 		n.ingress.Wait()
 	}()
 	select {
 	case <-finished:
-	case <-time.After(n.d.Periods.DrainAtMost):
+	case <-over.C:
 		n.d.Logger.Info("Drain ran out of time", "node", n.d.ID)
 	}
 	n.controller.Stop(ctx)
