node: Follow the store with three nodes a zone; tell orders by word of mouth

Change: three nodes of a zone, by rendezvous hashing over those that answer, follow the store; they tell their zone at once, and each exchange carries the orders.

--- a/membership/table.go
+++ b/membership/table.go
@@ -259,6 +259,11 @@
 	return count
 }
 
+// ZoneSize returns how many members of a zone are known, those gone included.
+func (t *Table) ZoneSize(zone Zone) int {
+	return t.size(zone)
+}
+
 func (t *Table) size(zone Zone) int {
 	s := t.shard(zone)
 	s.mu.Lock()
--- a/move/book.go
+++ b/move/book.go
@@ -53,6 +53,21 @@
 	return k.order, k.seen, ok
 }
 
+// Orders returns all known orders as they are told to others at the given
+// time, sorted by service.
+func (b *Book) Orders(now time.Time) []Order {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	orders := make([]Order, 0, len(b.orders))
+	for _, k := range b.orders {
+		o := k.order
+		o.Progress.Left = k.deadline.Sub(now)
+		orders = append(orders, o)
+	}
+	slices.SortFunc(orders, func(x, y Order) int { return cmp.Compare(x.Service, y.Service) })
+	return orders
+}
+
 // Under is an order that is being carried out.
 type Under struct {
 	Order Order
--- a/node/announced.go
+++ b/node/announced.go
@@ -86,6 +86,18 @@
 	}
 }
 
+// tellZoneSoon makes tellNews tell the members of the own zone. Where all of
+// them follow the platform themselves there is nothing to tell.
+func (n *Node) tellZoneSoon() {
+	if n.table.ZoneSize(n.d.Zone) <= _watchers {
+		return
+	}
+	select {
+	case n.zoneNews <- struct{}{}:
+	default:
+	}
+}
+
 // announcedProcess tells the owner which process of the upstream takes calls.
 type announcedProcess struct{ node *Node }
 
@@ -128,15 +140,18 @@
 		case <-ctx.Done():
 			return
 		case <-n.news:
+			n.tell(ctx, n.table.Members())
+		case <-n.zoneNews:
+			n.tell(ctx, n.table.Zone(n.d.Zone))
 		}
-		n.tellAll(ctx)
 	}
 }
 
-func (n *Node) tellAll(ctx context.Context) {
+// tell exchanges state with members at once.
+func (n *Node) tell(ctx context.Context, members []membership.Member) {
 	places := make(chan struct{}, _tellAtOnce)
 	var telling sync.WaitGroup
-	for _, m := range n.table.Members() {
+	for _, m := range members {
 		if m.ID == n.d.ID || m.State.Gone() {
 			continue
 		}
--- /dev/null
+++ b/node/hosted_integration_test.go
@@ -0,0 +1,253 @@
+package node_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+	"k8s.io/klog/v2"
+
+	"lentilferry.example/lentilferry/config"
+	"lentilferry.example/lentilferry/internal/fakes/fakestore"
+	"lentilferry.example/lentilferry/lease"
+	"lentilferry.example/lentilferry/membership"
+	"lentilferry.example/lentilferry/node"
+	"lentilferry.example/lentilferry/platform"
+	"lentilferry.example/lentilferry/upstream"
+	"lentilferry.example/lentilferry/wire"
+)
+
+const _hostedDocument = `{"version":%d,"services":[{"name":"desk"}],
+"limits":{"max-header-bytes":16384,"max-body-bytes":100000,"header-timeout":"3s","idle-timeout":"15s"},
+"vhosts":[{"host":"h.example","paths":[
+{"name":"batches","path-prefix":"/batches/","kind":"non_idempotent","timeout":"2s","target-latency":"500ms","priority":0,"service":"desk","attempts":2}%s]}]}`
+
+// hosted is a few nodes on a stand-in of the users' platform.
+type hosted struct {
+	t     *testing.T
+	store *fakestore.Store
+	base  netip.AddrPort
+	nodes []*hostedNode
+	ids   atomic.Int64
+}
+
+// hostedNode is a node and its upstream.
+type hostedNode struct {
+	*node.Node
+	calls string
+	// runs counts the calls that the upstream ran, by their identity.
+	mu   sync.Mutex
+	runs map[string]int
+	// fails makes the upstream fail each call.
+	fails atomic.Bool
+	seq   uint64
+	say   func(leaving bool) upstream.Result
+}
+
+func newHosted(t *testing.T, versions ...config.VersionName) *hosted {
+	t.Helper()
+	before := goleak.IgnoreCurrent()
+	t.Cleanup(func() { goleak.VerifyNone(t, before) })
+	h := &hosted{t: t, store: fakestore.New()}
+	server := httptest.NewServer(h.store)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	h.base = netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	h.configure(1, "")
+	for i, version := range versions {
+		h.start(fmt.Sprint("n", i), version)
+	}
+	return h
+}
+
+func (h *hosted) configure(version int, more string) {
+	h.store.Put("config", "main", fmt.Sprintf(_hostedDocument, version, more))
+}
+
+func (h *hosted) start(id string, version config.VersionName) *hostedNode {
+	h.t.Helper()
+	n := &hostedNode{runs: make(map[string]int)}
+	server := httptest.NewServer(http.HandlerFunc(n.serveUpstream))
+	h.t.Cleanup(server.Close)
+	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	var l node.Listeners
+	for _, into := range []*net.Listener{&l.Calls, &l.Peers, &l.Admin} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(h.t, err)
+		*into = listener
+	}
+	transport := &http.Transport{}
+	client := platform.NewClient(h.base, transport)
+	periods := node.DefaultPeriods()
+	periods.Gossip, periods.Zones, periods.Health = 50*time.Millisecond, 100*time.Millisecond, 50*time.Millisecond
+	n.Node = node.New(node.Dependencies{
+		ID: membership.NodeID(id), Region: "r", Zone: "z", Peer: netip.MustParseAddrPort(l.Peers.Addr().String()),
+		Upstream: node.Upstream{Service: "desk", Address: address, Announced: true},
+		Periods:  periods, Membership: membership.DefaultTiming(), Lease: lease.DefaultTiming(),
+		Platform: client, Source: platform.NewConfigurations(client, wire.Codec{}), Orders: platform.NewOrders(client, klog.Logger{}),
+		Dialect: platform.Headers{}, Listeners: l, Logger: klog.Logger{}, Now: time.Now,
+	})
+	n.calls = "http://" + l.Calls.Addr().String()
+	n.say = func(leaving bool) upstream.Result {
+		n.seq++
+		return n.Hear(time.Now(), upstream.Announcement{
+			ID: upstream.ID("i-" + id), Service: "desk", Version: version, Address: address, Slots: 8, Sequence: n.seq, Incarnation: 1, Leaving: leaving,
+		})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		defer transport.CloseIdleConnections()
+		assert.Check(h.t, n.Run(ctx) == nil)
+	}()
+	h.t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	assert.Equal(h.t, n.say(false), upstream.Accepted)
+	h.nodes = append(h.nodes, n)
+	return n
+}
+
+func (n *hostedNode) serveUpstream(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Attempt-Id")
+	_, _ = io.Copy(io.Discard, r.Body)
+	n.mu.Lock()
+	n.runs[id]++
+	n.mu.Unlock()
+	w.Header().Set("X-Attempt-Id", id)
+	w.Header().Set("X-Server-Seal", "s")
+	if n.fails.Load() {
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+}
+
+func (n *hostedNode) ran() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.runs)
+}
+
+// call sends one call through a node and returns its status.
+func (h *hosted) call(n *hostedNode, path string) int {
+	h.t.Helper()
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, n.calls+path, strings.NewReader("b"))
+	assert.NilError(h.t, err)
+	request.Host = "h.example"
+	request.Header.Set("X-Attempt-Id", fmt.Sprint("a", h.ids.Add(1)))
+	request.Header.Set("X-Deadline-Ms", "3000")
+	response, err := _hostedCaller.Do(request)
+	assert.NilError(h.t, err)
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+var _hostedCaller = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+// until sends calls through all nodes until something holds.
+func (h *hosted) until(what string, holds func() bool) {
+	h.t.Helper()
+	for end := time.Now().Add(_patience); !holds(); time.Sleep(time.Millisecond) {
+		assert.Assert(h.t, time.Now().Before(end), "not in %s: %s", _patience, what)
+		for _, n := range h.nodes {
+			h.call(n, "/batches/1")
+		}
+	}
+}
+
+func (h *hosted) serving(upstreams int) func() bool {
+	return func() bool {
+		for _, n := range h.nodes {
+			count := 0
+			for _, m := range n.Members().Members() {
+				if m.State.TakesWork() {
+					count++
+				}
+			}
+			if count != upstreams || n.Table() == nil {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// The whole path: nodes find each other, take the operator's configuration and
+// what upstreams announce, and serve; a change is in force on all of them; one
+// whose leaving was confirmed gets nothing more; no call runs twice.
+func TestHostedPath(t *testing.T) {
+	h := newHosted(t, "v1", "v1", "v1", "v1")
+	h.until("all serve", h.serving(4))
+	for _, n := range h.nodes {
+		assert.Equal(t, h.call(n, "/batches/1"), http.StatusOK)
+		assert.Equal(t, h.call(n, "/slips/1"), http.StatusNotFound)
+	}
+	h.configure(2, `,{"name":"slips","path-prefix":"/slips/","kind":"idempotent","timeout":"2s","service":"desk","attempts":2}`)
+	h.until("a route that was added is served by all", func() bool {
+		for _, n := range h.nodes {
+			if h.call(n, "/slips/1") != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+	leaving := h.nodes[0]
+	assert.Equal(t, leaving.say(true), upstream.Accepted)
+	before := leaving.ran()
+	for range 20 {
+		for _, n := range h.nodes {
+			assert.Equal(t, h.call(n, "/batches/1"), http.StatusOK)
+		}
+	}
+	assert.Equal(t, leaving.ran(), before)
+	for _, n := range h.nodes {
+		for id, runs := range n.runs {
+			assert.Equal(t, runs, 1, "call %s", id)
+		}
+	}
+}
+
+// A bad version is out of all traffic though its pilot can't store that, and
+// the operator reads it once the store is back.
+func TestHostedVerdictWithoutTheStore(t *testing.T) {
+	h := newHosted(t, "v1", "v1", "v1")
+	h.until("all serve", h.serving(3))
+	h.store.Put("rollouts", "desk", `{"service":"desk","target-version":"v2","duration":"30s"}`)
+	bad := h.start("bad", "v2")
+	bad.fails.Store(true)
+	h.until("the version has a share", func() bool { return bad.ran() > 0 })
+	h.store.SetFaults(fakestore.Faults{Status: http.StatusServiceUnavailable})
+	last, since := 0, time.Now()
+	h.until("the version gets nothing for a second", func() bool {
+		if ran := bad.ran(); ran != last {
+			last, since = ran, time.Now()
+		}
+		return time.Since(since) > time.Second
+	})
+	assert.Assert(t, last < 100, "%d calls met the version", last)
+	h.store.SetFaults(fakestore.Faults{})
+	h.until("the operator reads that it was taken back", func() bool {
+		object, _ := h.store.Get("rollouts", "desk")
+		var status struct {
+			State string `json:"state"`
+		}
+		_ = json.Unmarshal(object.Status, &status)
+		return status.State == "reverted"
+	})
+	assert.Equal(t, bad.ran(), last)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -216,9 +216,11 @@
 	pilots        map[string]*move.Pilot
 	moveDetectors map[string]*evidence.Detector
 	// news holds a token after this node's record has changed.
-	news    chan struct{}
-	drained chan struct{}
-	stop    sync.Once
+	news chan struct{}
+	// zoneNews holds a token after there was news for the own zone.
+	zoneNews chan struct{}
+	drained  chan struct{}
+	stop     sync.Once
 }
 
 const (
@@ -264,6 +266,7 @@
 		pilots:        make(map[string]*move.Pilot),
 		moveDetectors: make(map[string]*evidence.Detector),
 		news:          make(chan struct{}, 1),
+		zoneNews:      make(chan struct{}, 1),
 		drained:       make(chan struct{}),
 		vars:          new(expvar.Map),
 	}
@@ -304,6 +307,7 @@
 		Holder:      n.holder,
 		Replica:     n.replica,
 		Quarantines: n.quarantines,
+		Orders:      n,
 		Active:      n.isActive,
 		Clients:     n.clients,
 		Logger:      n.d.Logger,
--- a/node/orders.go
+++ b/node/orders.go
@@ -55,6 +55,10 @@
 	pause.MaxInterval = _sourcePauseMost
 	lost := false
 	for ctx.Err() == nil {
+		if !n.isWatcher() {
+			wait(ctx, _watcherCheck)
+			continue
+		}
 		orders, err := n.d.Orders.Next(ctx)
 		if ctx.Err() != nil {
 			return
@@ -73,20 +77,36 @@
 		lost = false
 		pause.Reset()
 		for _, o := range orders {
-			n.learnOrder(o)
+			if n.learnOrder(o) {
+				n.tellZoneSoon()
+			}
 		}
 	}
 }
 
-func (n *Node) learnOrder(o move.Order) {
+// Orders returns the orders that this node knows.
+func (n *Node) Orders(now time.Time) []move.Order {
+	return n.book.Orders(now)
+}
+
+// HearOrder takes in an order from a peer.
+func (n *Node) HearOrder(o move.Order) {
+	n.learnOrder(o)
+}
+
+// learnOrder takes in an order and reports whether it was news.
+func (n *Node) learnOrder(o move.Order) bool {
 	now := n.d.Now()
 	if !n.book.Learn(now, o) {
-		return
+		return false
 	}
 	p := o.Progress
 	n.d.Logger.Info("Order learnt", "service", o.Service, "candidate", o.Candidate, "revision", o.Revision,
 		"state", p.State.String(), "share", p.Share.Percent(), "pilot", p.Pilot, "epoch", p.Epoch, "reason", p.Reason)
-	n.settleUpstream(now)
+	if n.announced != nil {
+		n.settleUpstream(now)
+	}
+	return true
 }
 
 // mayServe reports whether the upstream of this node may take calls by the
@@ -224,7 +244,10 @@
 	saved := u.Order
 	saved.Revision = outcome.Version
 	saved.Progress = next
-	n.learnOrder(saved)
+	changed := next.State != u.Order.Progress.State || next.Share != u.Order.Progress.Share
+	if n.learnOrder(saved) && changed {
+		n.tellSoon()
+	}
 }
 
 // quarantineEverywhere takes a candidate out of all traffic before that is
--- a/node/source.go
+++ b/node/source.go
@@ -7,6 +7,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
 
+	"lentilferry.example/lentilferry/membership"
 	"lentilferry.example/lentilferry/revision"
 )
 
@@ -23,6 +24,21 @@
 	_missedWithin = 150 * time.Millisecond
 )
 
+const (
+	// _watchers is how many nodes of a zone follow the platform's configuration
+	// and orders; the others hear of them from these. Each call of the store is
+	// paid for.
+	_watchers = 3
+	// _roleWatcher is the role of following them.
+	_roleWatcher = "watcher"
+	// _watcherCheck is how often a node looks whether it has become a watcher.
+	_watcherCheck = 200 * time.Millisecond
+)
+
+func (n *Node) isWatcher() bool {
+	return membership.IsChosen(n.table.Zone(n.d.Zone), _roleWatcher, _watchers, n.d.ID)
+}
+
 // followSource takes over each newer configuration that the source gives.
 func (n *Node) followSource(ctx context.Context) {
 	pause := backoff.NewExponentialBackOff()
@@ -30,6 +46,11 @@
 	pause.MaxInterval = _sourcePauseMost
 	lost, waited := false, false
 	for ctx.Err() == nil {
+		if !n.isWatcher() {
+			waited = false
+			wait(ctx, _watcherCheck)
+			continue
+		}
 		began, before := n.d.Now(), n.holder.Number()
 		snapshot, err := n.d.Source.Next(ctx)
 		switch {
@@ -50,7 +71,11 @@
 		}
 		lost = false
 		pause.Reset()
-		if snapshot != nil && n.take(snapshot) && before != 0 && waited && n.d.Now().Sub(began) < _missedWithin {
+		isNews := snapshot != nil && n.take(snapshot)
+		if isNews {
+			n.tellZoneSoon()
+		}
+		if isNews && before != 0 && waited && n.d.Now().Sub(began) < _missedWithin {
 			n.d.Logger.Info("Configuration was missed", "revision", snapshot.Manifest.Number, "note", "telling all members")
 			n.tellSoon()
 		}
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -14,6 +14,7 @@
 	lentilferryv1 "lentilferry.example/lentilferry/gen/lentilferry/v1"
 	"lentilferry.example/lentilferry/gen/lentilferry/v1/lentilferryv1connect"
 	"lentilferry.example/lentilferry/membership"
+	"lentilferry.example/lentilferry/move"
 	"lentilferry.example/lentilferry/quarantine"
 	"lentilferry.example/lentilferry/revision"
 	"lentilferry.example/lentilferry/wire"
@@ -37,12 +38,21 @@
 
 var _ Caller = (*Clients)(nil)
 
+// Orders are the orders to move services that a node knows.
+type Orders interface {
+	Orders(now time.Time) []move.Order
+	// HearOrder takes in an order from a peer, which may be older than what is known.
+	HearOrder(o move.Order)
+}
+
 // GossipDependencies are what a Gossip is built from.
 type GossipDependencies struct {
 	Table       *membership.Table
 	Holder      *revision.Holder
 	Replica     *distribution.Replica
 	Quarantines *quarantine.Set
+	// Orders holds the orders to move services.
+	Orders Orders
 	// Active reports whether a rollout is under way, as far as this node knows.
 	Active  func(rollout string) bool
 	Clients Caller
@@ -112,6 +122,7 @@
 		updates:     response.Msg.GetUpdates(),
 		digests:     response.Msg.GetDigests(),
 		quarantines: response.Msg.GetQuarantines(),
+		orders:      response.Msg.GetOrders(),
 	})
 	if response.Msg.GetRevision() > g.d.Holder.Number() {
 		go g.Pull(context.WithoutCancel(ctx), peer)
@@ -128,6 +139,7 @@
 		Updates:     wire.EncodeMembers(g.d.Table.Updates()),
 		Digests:     wire.EncodeDigests(g.d.Table.Digests(now)),
 		Quarantines: wire.EncodeQuarantines(g.d.Quarantines.All()),
+		Orders:      wire.EncodeOrders(g.d.Orders.Orders(now)),
 	}
 }
 
@@ -136,6 +148,7 @@
 	updates     []*lentilferryv1.Member
 	digests     []*lentilferryv1.ZoneDigest
 	quarantines []*lentilferryv1.Quarantine
+	orders      []*lentilferryv1.Order
 }
 
 func (g *Gossip) absorb(w peerState) {
@@ -144,6 +157,9 @@
 		g.d.Table.Merge(now, m)
 	}
 	g.d.Table.Heard(now, wire.DecodeDigests(w.digests))
+	for _, o := range wire.DecodeOrders(w.orders) {
+		g.d.Orders.HearOrder(o)
+	}
 	for _, q := range wire.DecodeQuarantines(w.quarantines) {
 		if g.d.Active(q.Rollout) && g.d.Quarantines.Add(q) {
 			g.d.Logger.Info("Quarantined version", "zone", q.Zone, "service", q.Service, "version", q.Version, "reason", q.Reason)
@@ -157,6 +173,7 @@
 		updates:     request.GetUpdates(),
 		digests:     request.GetDigests(),
 		quarantines: request.GetQuarantines(),
+		orders:      request.GetOrders(),
 	})
 	now := g.d.Now()
 	self := g.d.Table.Self()
@@ -169,6 +186,7 @@
 		Updates:     wire.EncodeMembers(members),
 		Digests:     wire.EncodeDigests(g.d.Table.Digests(now)),
 		Quarantines: wire.EncodeQuarantines(g.d.Quarantines.All()),
+		Orders:      wire.EncodeOrders(g.d.Orders.Orders(now)),
 	}
 }
 
