call, admission: Split files by concern

The ingress held the server, the way of one call and what is learnt from answers; the gate its tickets; the owner the keeping of answers. Moved, not changed.

--- /dev/null
+++ b/call/ingress_call.go
@@ -0,0 +1,297 @@
+package call
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"lentilferry.example/lentilferry/config"
+	"lentilferry.example/lentilferry/routing"
+)
+
+// ingressCall is one call on its way.
+type ingressCall struct {
+	ingress *Ingress
+	writer  http.ResponseWriter
+	request *http.Request
+	target  *routing.Target
+	service config.Service
+	id      string
+	// began is when the call was read.
+	began    time.Time
+	deadline time.Time
+	depth    int
+	body     *replayBody
+	// versions may take the call: the first, and the second when the first
+	// have no upstream.
+	versions [2]config.VersionSet
+	tried    []*routing.Endpoint
+	// used is how long the caller had waited when the call came, in earlier
+	// attempts that were refused.
+	used time.Duration
+	// left is how long the caller still waited when the call came.
+	left time.Duration
+	// sent counts the upstreams that the call was sent to.
+	sent uint32
+	// retryAfter is the soonest that an owner which refused the call gave.
+	retryAfter time.Duration
+}
+
+// carry tries upstreams until the call is answered, may not be sent again, or
+// nothing is left to try.
+func (c *ingressCall) carry(ctx context.Context) {
+	last := Verdict{Outcome: NotRun, Reason: ReasonNoUpstream}
+	for attempt := 1; attempt <= _maxAttempts+_maxRefusals; attempt++ {
+		endpoint, ok := c.choose()
+		if !ok {
+			break
+		}
+		began := c.ingress.d.Now()
+		verdict := c.try(ctx, endpoint, attempt)
+		c.log(endpoint, attempt, verdict, c.ingress.d.Now().Sub(began))
+		if verdict.Outcome == Answered {
+			c.ended(verdict)
+			return
+		}
+		c.note(verdict)
+		last = worse(last, verdict)
+		c.tried = append(c.tried, endpoint)
+		if !c.mayRetry(ctx, verdict) {
+			break
+		}
+	}
+	if last.Outcome == NotRun {
+		last.RetryAfter = retryAfter(c.retryAfter, c.left-c.ingress.d.Now().Sub(c.began), rand.Float64())
+	}
+	c.ingress.d.Logger.Info("Gave up call", "call", c.id, "route", c.target.Route.Name, "versions", c.versions[0].String(),
+		"tried", len(c.tried), "sent", c.sent, "outcome", last.Outcome.String(), "reason", last.Reason, "retryAfter", last.RetryAfter)
+	c.ended(last)
+	last.write(c.writer, c.ingress.d.Dialect)
+}
+
+func (c *ingressCall) ended(v Verdict) {
+	m := c.ingress.d.Metrics
+	m.count(v)
+	m.latency.add(c.target.Route.Name, v.Outcome, c.ingress.d.Now().Sub(c.began))
+}
+
+const (
+	// _soonestReturn is the least time after which a refused call is worth
+	// sending again: what refused it does not pass at once.
+	_soonestReturn = 250 * time.Millisecond
+	// _returnPart is the part of the time that the caller has left which it is
+	// told to wait at most, so that time is left for the call itself.
+	_returnPart = 1.0 / 3
+	// _returnSpread is the part by which callers refused together are told
+	// different times, so that they do not come back together.
+	_returnSpread = 0.3
+)
+
+// retryAfter returns when a caller is told to come back: when there is room,
+// as far as that is known, and soon enough to be served then. The point is
+// random in the unit interval.
+func retryAfter(room, left time.Duration, point float64) time.Duration {
+	after := min(max(room, _soonestReturn), time.Duration(_returnPart*float64(left)))
+	return max(time.Millisecond, time.Duration(float64(after)*(1-_returnSpread*point)))
+}
+
+// note takes in how a try ended.
+func (c *ingressCall) note(v Verdict) {
+	if v.reachedUpstream() {
+		c.sent++
+	}
+	if v.RetryAfter > 0 && (c.retryAfter == 0 || v.RetryAfter < c.retryAfter) {
+		c.retryAfter = v.RetryAfter
+	}
+}
+
+// worse returns the verdict that is true of both tries together: a call of
+// which one try is unknown is unknown.
+func worse(before, now Verdict) Verdict {
+	if before.Outcome == Unknown && now.Outcome == NotRun {
+		return before
+	}
+	return now
+}
+
+// choose returns the upstream for the next try.
+func (c *ingressCall) choose() (*routing.Endpoint, bool) {
+	now := c.ingress.d.Now()
+	for i, versions := range c.versions {
+		if i > 0 && versions == c.versions[0] {
+			break
+		}
+		q := routing.Query{Service: c.service.Name, Versions: versions, Objective: c.target.Route.Objective, Tried: c.tried}
+		if endpoint, ok := c.ingress.d.Endpoints.Choose(now, q); ok {
+			return endpoint, true
+		}
+	}
+	return nil, false
+}
+
+// repeatable reports whether the call may be run more than once.
+func (c *ingressCall) repeatable() bool {
+	route := c.target.Route
+	return route.Idempotent || route.Class == config.ClassLookup && repeatable(c.request.Method)
+}
+
+// mayRetry reports whether another upstream may be tried. Sending a call once
+// more to an upstream takes from the budget; a try that reached none is free.
+func (c *ingressCall) mayRetry(ctx context.Context, v Verdict) bool {
+	if ctx.Err() != nil || !c.body.replayable() {
+		return false
+	}
+	if v.Outcome == Unknown && (!c.repeatable() || v.Reason == ReasonDeadline || v.Reason == ReasonUnbounded) {
+		return false
+	}
+	most := c.target.Route.Attempts
+	if most == 0 {
+		most = _maxAttempts
+	}
+	if c.sent >= most {
+		return false
+	}
+	if c.sent == 0 {
+		return len(c.tried) < _maxRefusals
+	}
+	now := c.ingress.d.Now()
+	if !c.ingress.d.Budgets.For(c.service.Name).Take(now, c.ingress.d.Nodes()) {
+		c.ingress.d.Logger.Info("Retry budget is spent", "call", c.id, "service", c.service.Name)
+		return false
+	}
+	c.ingress.d.Metrics.retries.Add(1)
+	return true
+}
+
+// try sends the call to one upstream. When the verdict is Answered, the
+// answer was passed on.
+func (c *ingressCall) try(ctx context.Context, endpoint *routing.Endpoint, attempt int) Verdict {
+	endpoint.Begin()
+	defer endpoint.End()
+	body := c.body.attempt()
+	defer func() { _ = body.Close() }()
+	response, verdict := c.send(ctx, endpoint, attempt, body)
+	if verdict.Outcome != Answered {
+		return verdict
+	}
+	defer func() { _ = response.Body.Close() }()
+	c.answer(response)
+	return verdict
+}
+
+// send takes the call to the upstream's owner, here or on another node.
+func (c *ingressCall) send(ctx context.Context, endpoint *routing.Endpoint, attempt int, body *attemptBody) (*http.Response, Verdict) {
+	d := c.ingress.d
+	call := c.describe(endpoint, attempt)
+	out := outgoing(ctx, c.request, endpoint.Address, body, d.Dialect)
+	out.Header[HeaderDepth] = []string{strconv.Itoa(c.depth + 1)}
+	left := c.deadline.Sub(d.Now())
+	if d.Local != nil && endpoint.Owner == d.Self().Instance() {
+		response, verdict := d.Local.carry(ctx, out, call, left)
+		c.learn(endpoint, response, verdict)
+		return response, verdict
+	}
+	var track tracker
+	out = out.WithContext(track.context(ctx))
+	out.Header[headerCall] = []string{call.String()}
+	out.Header[HeaderRemaining] = []string{formatMillis(left)}
+	response, err := d.Transport.RoundTrip(out)
+	if err != nil {
+		verdict := failure(ctx, &track)
+		switch verdict.Reason {
+		case ReasonCanceled:
+		case ReasonUnreachable:
+			endpoint.Unreached(d.Now())
+		default:
+			endpoint.FailedCall(d.Now())
+		}
+		return nil, verdict
+	}
+	verdict, isRefused := refused(response)
+	c.learn(endpoint, response, verdict)
+	if isRefused {
+		_ = response.Body.Close()
+	}
+	return response, verdict
+}
+
+// describe returns what the owner is told of the call.
+func (c *ingressCall) describe(endpoint *routing.Endpoint, attempt int) forwarded {
+	route := c.target.Route
+	useful := c.deadline.Sub(c.began)
+	if route.Objective != _noObjective {
+		useful = route.Objective - c.used
+	}
+	return forwarded{
+		id:         c.id,
+		attempt:    attempt,
+		owner:      endpoint.Owner,
+		route:      route.Name,
+		class:      route.Class,
+		caller:     c.caller(),
+		origin:     c.ingress.d.Origin,
+		repeatable: c.repeatable(),
+		rank:       rankOf(route),
+		useful:     useful - c.ingress.d.Now().Sub(c.began),
+	}
+}
+
+func (c *ingressCall) answer(response *http.Response) {
+	if err := copyAnswer(c.writer, response); err != nil {
+		c.ingress.d.Metrics.count(Verdict{Outcome: Unknown, Reason: ReasonBroken})
+		c.ingress.d.Logger.Info("Broke off answer", "call", c.id, "cause", err)
+		// The caller must see a broken answer, never a shorter whole one.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// rankOf returns a route's urgency. Among routes that state none, commands are
+// more urgent than lookups.
+func rankOf(route config.Route) uint32 {
+	if route.Rank == 0 && route.Objective == _noObjective && route.Class == config.ClassLookup {
+		return 1
+	}
+	return route.Rank
+}
+
+// caller returns what the calls are grouped by between which slots are shared.
+func (c *ingressCall) caller() string {
+	if !c.ingress.d.FairCallers {
+		return _none
+	}
+	return callerOf(c.request)
+}
+
+func callerOf(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
+func (c *ingressCall) log(endpoint *routing.Endpoint, attempt int, v Verdict, took time.Duration) {
+	logger := c.ingress.d.Logger
+	if v.Outcome == Answered && attempt == 1 {
+		// The lines of calls that went as they should are the ones left out
+		// under load.
+		logger = logger.V(1)
+	}
+	logger.Info("Routed call",
+		"call", c.id,
+		"route", c.target.Route.Name,
+		"service", c.service.Name,
+		"versions", c.versions[0].String(),
+		"version", endpoint.Member.Version,
+		"upstream", endpoint.Member.ID,
+		"load", endpoint.Reported(c.ingress.d.Now()),
+		"attempt", attempt,
+		"outcome", v.Outcome.String(),
+		"reason", v.Reason,
+		"left", c.deadline.Sub(c.ingress.d.Now()),
+		"took", took,
+	)
+}
