--- a/call/ingress.go
+++ b/call/ingress.go
@@ -121,6 +121,9 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), now.Add(a.left))
 	defer cancel()
+	if a.bodyMost > 0 && r.ContentLength < 0 {
+		r.Body = http.MaxBytesReader(w, r.Body, a.bodyMost)
+	}
 	c := i.newCall(now, w, r, a)
 	limitReading(w, r, c.deadline)
 	if streamsIn(r) {
@@ -166,6 +169,29 @@
 	used       time.Duration
 	// depth is how many services the call has passed through.
 	depth int
+	// bodyMost bounds a body that comes without a length; 0 for no bound.
+	bodyMost int64
+}
+
+// overLimits returns which of the configuration's bounds a call breaks, empty
+// when it keeps them.
+func overLimits(l config.Limits, r *http.Request) Reason {
+	// Each header line has a colon, a space and a line end beside its texts.
+	const perLine = 4
+	headers := int64(len(r.Method) + len(r.RequestURI) + len(r.Host))
+	for name, values := range r.Header {
+		for _, value := range values {
+			headers += int64(len(name) + len(value) + perLine)
+		}
+	}
+	switch {
+	case l.HeaderBytes > 0 && headers > l.HeaderBytes:
+		return ReasonHeaders
+	case l.BodyBytes > 0 && r.ContentLength > l.BodyBytes:
+		return ReasonBody
+	default:
+		return ""
+	}
 }
 
 // accept checks a call. The reason is empty when it may go on.
@@ -177,6 +203,9 @@
 	if isUpgrade(r) {
 		return accepted{}, ReasonUpgrade
 	}
+	if reason := overLimits(table.Limits, r); reason != "" {
+		return accepted{}, reason
+	}
 	target, ok := table.Match(r.Host, r.URL.Path)
 	if !ok {
 		return accepted{}, ReasonNoRoute
@@ -201,7 +230,7 @@
 	if n >= MaxDepth {
 		return accepted{}, ReasonTooDeep
 	}
-	return accepted{target: target, left: left, callerLeft: callerLeft, used: used, depth: n}, ""
+	return accepted{target: target, left: left, callerLeft: callerLeft, used: used, depth: n, bodyMost: table.Limits.BodyBytes}, ""
 }
 
 func (i *Ingress) refuse(w http.ResponseWriter, r *http.Request, reason Reason) {
--- a/call/limits_test.go
+++ b/call/limits_test.go
@@ -18,6 +18,7 @@
 
 	"lentilferry.example/lentilferry/admission"
 	"lentilferry.example/lentilferry/call"
+	"lentilferry.example/lentilferry/config"
 	"lentilferry.example/lentilferry/membership"
 )
 
@@ -344,3 +345,33 @@
 	p.ingress.Wait()
 	assert.Equal(t, runs.Load(), int64(1))
 }
+
+// What is over the configuration's bounds is refused as not run; a body without
+// a length is cut at the bound, so that the upstream never sees a whole one.
+func TestConfiguredLimits(t *testing.T) {
+	var whole atomic.Int64
+	upstream := serveUpstream(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err == nil {
+			whole.Add(1)
+		}
+	}))
+	p := newPath(t, _long, upstream)
+	p.limit(config.Limits{HeaderBytes: 4096, BodyBytes: 1000})
+	for _, test := range []struct {
+		name   string
+		header string
+		body   io.Reader
+		status int
+	}{
+		{"within", "x", strings.NewReader(strings.Repeat("b", 1000)), http.StatusOK},
+		{"headers", strings.Repeat("h", 5000), nil, http.StatusRequestHeaderFieldsTooLarge},
+		{"body", "x", strings.NewReader(strings.Repeat("b", 1001)), http.StatusRequestEntityTooLarge},
+		{"body without a length", "x", io.LimitReader(strings.NewReader(strings.Repeat("b", 400_000)), 400_000), http.StatusBadGateway},
+	} {
+		request := newRequest(t, http.MethodPost, p.url+"/commands", test.body)
+		request.Header.Set("X-Long", test.header)
+		got := send(t, request)
+		assert.Equal(t, got.status, test.status, "%s: %s", test.name, got.reason)
+	}
+	assert.Equal(t, whole.Load(), int64(1))
+}
--- a/call/outcome.go
+++ b/call/outcome.go
@@ -59,6 +59,10 @@
 	ReasonTooDeep Reason = "too-deep"
 	// ReasonBadRequest means that the call can't be carried as it is.
 	ReasonBadRequest Reason = "bad-request"
+	// ReasonHeaders means that the call's headers are over the configuration's
+	// bound, and ReasonBody that its body is.
+	ReasonHeaders Reason = "headers-too-large"
+	ReasonBody    Reason = "body-too-large"
 	// ReasonUpgrade means that the call asks to change the protocol.
 	ReasonUpgrade Reason = "upgrade-not-carried"
 	// ReasonDuplicate means that the call was received before.
@@ -140,6 +144,10 @@
 		return http.StatusNotFound
 	case ReasonBadRequest:
 		return http.StatusBadRequest
+	case ReasonHeaders:
+		return http.StatusRequestHeaderFieldsTooLarge
+	case ReasonBody:
+		return http.StatusRequestEntityTooLarge
 	case ReasonTooDeep:
 		return http.StatusLoopDetected
 	case ReasonUpgrade:
--- a/call/path_test.go
+++ b/call/path_test.go
@@ -33,6 +33,7 @@
 type path struct {
 	url     string
 	ingress *call.Ingress
+	table   *routing.Table
 	owners  []*owner
 	pool    *routing.Pool
 	// deadline is the timeout of the routes.
@@ -48,6 +49,9 @@
 
 type routes struct{ table *routing.Table }
 
+// limit sets the bounds of the configuration in force.
+func (p *path) limit(l config.Limits) { p.table.Limits = l }
+
 func (r routes) Table() *routing.Table { return r.table }
 
 func (r routes) Versions(t *routing.Target, s config.Service) (first, second config.VersionSet) {
@@ -86,8 +90,9 @@
 		},
 	}
 	assert.Equal(t, len(config.Check(c)), 0)
+	p.table = routing.NewTable(c, nil, rand.New(rand.NewPCG(1, 1)))
 	ingress := call.NewIngress(call.IngressDependencies{
-		Routes:      routes{routing.NewTable(c, nil, rand.New(rand.NewPCG(1, 1)))},
+		Routes:      routes{p.table},
 		Endpoints:   p.pool,
 		Transport:   call.NewForwardTransport(),
 		Dialect:     call.NativeDialect{},
--- /dev/null
+++ b/node/idle_test.go
@@ -0,0 +1,31 @@
+package node
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// A connection is closed once it was unused for longer than the configuration
+// allows, never while it is used, and never sooner.
+func TestIdleConnections(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	c := newIdleConns()
+	used, other := net.Pipe()
+	defer func() { _, _ = used.Close(), other.Close() }()
+	c.note(start, used, http.StateNew)
+	c.note(start, used, http.StateActive)
+	assert.Equal(t, c.sweep(start.Add(time.Hour), 15*time.Second), 0)
+	c.note(start, used, http.StateIdle)
+	assert.Equal(t, c.sweep(start.Add(15*time.Second), 15*time.Second), 0)
+	assert.Equal(t, c.sweep(start.Add(time.Hour), 0), 0)
+	c.note(start.Add(10*time.Second), used, http.StateActive)
+	c.note(start.Add(12*time.Second), used, http.StateIdle)
+	assert.Equal(t, c.sweep(start.Add(16*time.Second), 15*time.Second), 0)
+	assert.Equal(t, c.sweep(start.Add(28*time.Second), 15*time.Second), 1)
+	_, err := used.Write([]byte("x"))
+	assert.Assert(t, err != nil)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -215,6 +215,8 @@
 	// decides on. Only orderStep uses them.
 	pilots        map[string]*move.Pilot
 	moveDetectors map[string]*evidence.Detector
+	// idle holds the unused connections of callers.
+	idle *idleConns
 	// news holds a token after this node's record has changed.
 	news chan struct{}
 	// zoneNews holds a token after there was news for the own zone.
@@ -265,6 +267,7 @@
 		book:          move.NewBook(),
 		pilots:        make(map[string]*move.Pilot),
 		moveDetectors: make(map[string]*evidence.Detector),
+		idle:          newIdleConns(),
 		news:          make(chan struct{}, 1),
 		zoneNews:      make(chan struct{}, 1),
 		drained:       make(chan struct{}),
@@ -464,6 +467,7 @@
 	loop(p.Health, n.checkUpstream)
 	group.Go(func() error { n.keepFresh(ctx); return nil })
 	group.Go(func() error { n.tellNews(ctx); return nil })
+	loop(_idleSweep, n.closeIdle)
 	if n.d.Orders != nil {
 		group.Go(func() error { n.followOrders(ctx); return nil })
 		loop(_orderPeriod, n.orderStep)
--- a/node/servers.go
+++ b/node/servers.go
@@ -25,6 +25,7 @@
 
 func (n *Node) servers() []listening {
 	calls := n.server(n.ingress)
+	calls.ConnState = func(conn net.Conn, state http.ConnState) { n.idle.note(n.d.Now(), conn, state) }
 	peers := n.server(n.peerHandler())
 	peers.ConnContext = meter.ConnContext
 	admin := n.server(n.adminHandler())
--- a/node/steps.go
+++ b/node/steps.go
@@ -114,6 +114,14 @@
 	}
 }
 
+// closeIdle closes callers' connections that were unused for longer than the
+// configuration allows.
+func (n *Node) closeIdle(context.Context) {
+	if table := n.Table(); table != nil {
+		n.idle.sweep(n.d.Now(), table.Limits.IdleTimeout)
+	}
+}
+
 // isActive reports whether a rollout or an order is under way.
 func (n *Node) isActive(rollout string) bool {
 	for _, u := range n.book.UnderWay() {
--- a/routing/table.go
+++ b/routing/table.go
@@ -39,6 +39,8 @@
 // Table matches calls to routes. It is built from one configuration and not
 // changed afterwards but for the counters of its splits.
 type Table struct {
+	// Limits bounds what callers may send.
+	Limits config.Limits
 	// byHost holds each host's targets, longest path prefix first; the empty
 	// host takes the calls that no other host's routes match.
 	byHost map[string][]*Target
@@ -47,7 +49,7 @@
 // NewTable returns the table of a checked configuration. Routes whose shares
 // are those of the table before keep their place in the split.
 func NewTable(c config.Config, before *Table, rnd *rand.Rand) *Table {
-	t := &Table{byHost: make(map[string][]*Target)}
+	t := &Table{Limits: c.Limits, byHost: make(map[string][]*Target)}
 	services := make(map[config.ServiceName]config.Service, len(c.Services))
 	for _, s := range c.Services {
 		services[s.Name] = s
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -77,3 +78,42 @@
 	_, _, err = Load(with("--speed", "7"))
 	assert.ErrorContains(t, err, "speed")
 }
+
+// The template of the deploy folder gives settings that a hosted node starts
+// with.
+func TestHostedTemplate(t *testing.T) {
+	template, err := os.ReadFile("../deploy/settings.yaml.tmpl")
+	assert.NilError(t, err)
+	text := strings.NewReplacer(
+		"{{node-name}}", "sidecar-capital-a-1", "{{region}}", "capital", "{{zone}}", "capital-a", "{{ip}}", "10.1.0.35",
+		"{{listen.outbound}}", "10.1.0.35:8141", "{{listen.ready}}", "10.1.0.35:8140", "{{listen.control}}", "10.1.0.35:8146",
+		"{{internal-ports.0}}", "7660", "{{provider.addr}}", "10.200.1.7:8142", "{{service}}", "desk", "{{app-addr}}", "10.1.0.35:8147",
+		"{{limits.ram-mb}}", "134", "{{bounds.retry-ratio}}", "0.2", "{{bounds.retry-slack}}", "56", "{{bounds.retry-window}}", "10s",
+	).Replace(string(template))
+	assert.Assert(t, !strings.Contains(text, "{{"), text)
+	file := filepath.Join(t.TempDir(), "node.yaml")
+	assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
+	s, _, err := Load([]string{"--config", file})
+	assert.NilError(t, err)
+	assert.Assert(t, s.Hosted && s.Upstream.Announced)
+	assert.Equal(t, s.MemoryLimit, int64(134)<<20)
+	assert.Equal(t, s.Retries.Slack, 56.0)
+	// A planned stop ends within the 6 s of grace.
+	assert.Assert(t, s.Periods.DrainAtMost < 6*time.Second && s.Periods.LeaveNotice < s.Periods.DrainAtMost)
+}
+
+func TestHostedFaults(t *testing.T) {
+	_, _, err := Load(with("--platform-protocol", "telegraph", "--retry-ratio", "2", "--gc-percent", "1", "--memory-limit", "1"))
+	for _, want := range []string{
+		`platformProtocol: "telegraph" is not known; use one of native, hosted`,
+		`retryRatio: "2" is not a number from 0 to 1`,
+		`gcPercent: "1" is not a number from 5 to 10000`,
+		`memoryLimit: "1" is not a number from 32 to 65536`,
+	} {
+		assert.ErrorContains(t, err, want)
+	}
+	_, _, err = Load(with("--platform-protocol", "hosted"))
+	assert.ErrorContains(t, err, `announceAddress: "" is not an IP and port`)
+	_, _, err = Load(with("--platform-protocol", "hosted", "--announce-address", "127.0.0.1:7901"))
+	assert.ErrorContains(t, err, "announceAddress: 127.0.0.1:7901 is callAddress too")
+}
