--- /dev/null
+++ b/call/ingress_call_test.go
@@ -0,0 +1,45 @@
+package call
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"lentilferry.example/lentilferry/routing"
+)
+
+// A caller is told a time after which it can still be served, and callers that
+// are refused together are told different ones.
+func TestRetryAfter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		room := time.Duration(rapid.IntRange(0, 5000).Draw(t, "room")) * time.Millisecond
+		left := time.Duration(rapid.IntRange(0, 5000).Draw(t, "left")) * time.Millisecond
+		point := rapid.Float64Range(0, 1).Draw(t, "point")
+		after := retryAfter(room, left, point)
+		assert.Assert(t, after > 0 && after <= max(time.Millisecond, left/3))
+		if room > 0 && room < left/3 {
+			assert.Assert(t, after >= time.Duration(float64(room)*(1-_returnSpread))-1)
+		}
+	})
+	assert.Assert(t, retryAfter(time.Second, 4*time.Second, 0) > retryAfter(time.Second, 4*time.Second, 1))
+}
+
+func TestParseLoad(t *testing.T) {
+	load, ok := parseLoad("12 9 121")
+	assert.Assert(t, ok)
+	assert.Equal(t, load, routing.Load{Calls: 12, Slots: 9, Work: 121 * time.Millisecond})
+	for _, text := range []string{"", "12", "12 9", "-1 9 5", "1 -9 5", "1 9 x", "1 9 5 7"} {
+		_, ok := parseLoad(text)
+		assert.Assert(t, !ok, text)
+	}
+}
+
+// A call of which one try is unknown stays unknown, whatever is said of others.
+func TestWorse(t *testing.T) {
+	unknown, notRun := Verdict{Outcome: Unknown, Reason: ReasonBroken}, Verdict{Outcome: NotRun, Reason: ReasonUnreachable}
+	assert.Equal(t, worse(unknown, notRun), unknown)
+	assert.Equal(t, worse(notRun, unknown), unknown)
+	assert.Equal(t, worse(notRun, notRun), notRun)
+}
