--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -75,15 +75,21 @@
 	ejectedUntil time.Time
 }
 
+// reported returns the load that was last reported, and when.
+func (e *Endpoint) reported() (Load, time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.load, e.loadedAt
+}
+
 // Reported returns the load that the upstream's owner last reported and how
 // old the report is, as it stands in logs.
 func (e *Endpoint) Reported(now time.Time) string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.loadedAt.IsZero() {
+	load, at := e.reported()
+	if at.IsZero() {
 		return "none"
 	}
-	return fmt.Sprintf("%d/%d calls of %s, %s old", e.load.Calls, e.load.Slots, e.load.Work, now.Sub(e.loadedAt).Round(time.Millisecond))
+	return fmt.Sprintf("%d/%d calls of %s, %s old", load.Calls, load.Slots, load.Work, now.Sub(at).Round(time.Millisecond))
 }
 
 // Begin counts a call to the upstream. The call's End must follow.
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -84,7 +84,7 @@
 	}
 	e := &Endpoint{Member: m, Address: m.Peer.String(), Owner: m.Instance(), penalty: p.penalty(m)}
 	if ok && known.Member.Incarnation == m.Incarnation && known.Member.Version == m.Version {
-		e.load, e.loadedAt = known.load, known.loadedAt
+		e.load, e.loadedAt = known.reported()
 	}
 	return e
 }
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -240,6 +241,40 @@
 	assert.Assert(t, same == e)
 }
 
+// What is learnt of an upstream while its member changes is neither lost nor
+// raced for.
+func TestLearningWhileMembersChange(t *testing.T) {
+	p := NewPool("a", "r1")
+	serving, suspected := upstream(0, "a", "r1"), upstream(0, "a", "r1")
+	suspected.Suspected = true
+	p.Update([]membership.Member{serving})
+	var learning sync.WaitGroup
+	stop := make(chan struct{})
+	learning.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			if e, ok := p.Choose(_start, _query); ok {
+				e.Loaded(_start, Load{Calls: 1, Slots: 2, Work: time.Second})
+				e.FailedCall(_start)
+				_ = e.Reported(_start)
+			}
+		}
+	})
+	for i := range 2000 {
+		p.Update([]membership.Member{[]membership.Member{serving, suspected}[i%2]})
+	}
+	close(stop)
+	learning.Wait()
+	e, ok := p.Choose(_start, _query)
+	assert.Assert(t, ok)
+	load, _ := e.reported()
+	assert.Equal(t, load.Work, time.Second)
+}
+
 func BenchmarkChoose(b *testing.B) {
 	for _, n := range []int{2, 7, 40} {
 		b.Run(fmt.Sprint("upstreams=", n), func(b *testing.B) {
