--- a/settings/settings.go
+++ b/settings/settings.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"net/url"
 	"os"
@@ -240,8 +241,8 @@
 		Membership: membership.DefaultTiming(),
 		Lease:      lease.DefaultTiming(),
 		Retries: retry.Limits{
-			Ratio:  r.fraction("retry-ratio"),
-			Slack:  float64(r.number("retry-slack", 0, _slackMost)),
+			Ratio:  r.decimal("retry-ratio", 0, 1),
+			Slack:  r.decimal("retry-slack", 0, _slackMost),
 			Window: r.duration("retry-window"),
 		},
 		Verbosity: r.number("verbosity", 0, 9),
@@ -250,7 +251,7 @@
 		s.AnnounceAddress = r.address("announce-address")
 		s.Upstream.Announced = true
 	}
-	s.MemoryLimit = int64(r.number("memory-limit", _memoryLeast, _memoryMost)) << 20
+	s.MemoryLimit = int64(r.decimal("memory-limit", _memoryLeast, _memoryMost) * (1 << 20))
 	s.GCPercent = r.number("gc-percent", _gcLeast, _gcMost)
 	s.Membership.Suspicion = r.duration("suspicion-timeout")
 	s.Lease = leaseTiming(r.duration("lease-lifetime"))
@@ -349,12 +350,13 @@
 	return n
 }
 
-func (r *reader) fraction(flag string) float64 {
+// decimal returns a number that may have a fraction.
+func (r *reader) decimal(flag string, least, most float64) float64 {
 	text := r.text(flag)
 	f, err := strconv.ParseFloat(text, 64)
-	if err != nil || f < 0 || f > 1 {
-		r.faultf(flag, "%q is not a number from 0 to 1", text)
-		return 0
+	if err != nil || math.IsNaN(f) || f < least || f > most {
+		r.faultf(flag, "%q is not a number from %.0f to %.0f", text, least, most)
+		return least
 	}
 	return f
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -117,3 +117,14 @@
 	_, _, err = Load(with("--platform-protocol", "hosted", "--announce-address", "127.0.0.1:7901"))
 	assert.ErrorContains(t, err, "announceAddress: 127.0.0.1:7901 is callAddress too")
 }
+
+// Limits that a platform works out may be fractions.
+func TestFractionsAreTaken(t *testing.T) {
+	s, _, err := Load(with("--retry-slack", "34.375", "--memory-limit", "133.5"))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Retries.Slack, 34.375)
+	assert.Equal(t, s.MemoryLimit, int64(133.5*(1<<20)))
+	_, _, err = Load(with("--retry-slack", "-1", "--memory-limit", "NaN"))
+	assert.ErrorContains(t, err, `retrySlack: "-1" is not a number from 0 to 1000000`)
+	assert.ErrorContains(t, err, `memoryLimit: "NaN" is not a number from 32 to 65536`)
+}
