peer, call: Keep few connections between nodes, and no compressors

Cause: at 114 nodes each node held an HTTP/2 connection to most others, a compressor of up to a megabyte for each message under way, and unused connections for calls for 30 s.

--- a/call/dial.go
+++ b/call/dial.go
@@ -66,8 +66,9 @@
 	// _upstreamIdle is how long an unused connection to an upstream is kept.
 	_upstreamIdle = 5 * time.Second
 	// _forwardIdle is how long an unused connection to another node is kept;
-	// shorter than the other node's server keeps it.
-	_forwardIdle = 30 * time.Second
+	// shorter than the other node's server keeps it. Each takes some 30 KB on
+	// the two nodes together, and calls go to any of many nodes.
+	_forwardIdle = 3 * time.Second
 	// _forwardIdleMost is how many unused connections to one node are kept.
 	_forwardIdleMost = 32
 	// _maxHeaderBytes bounds the headers of an answer.
--- a/peer/client.go
+++ b/peer/client.go
@@ -16,34 +16,26 @@
 const (
 	// _dialTimeout bounds the making of a connection.
 	_dialTimeout = time.Second
-	// _idle is how long an unused connection is kept.
-	_idle = time.Minute
-	// _pingAfter is how long a connection may be silent before it is tested.
-	_pingAfter = 2 * time.Second
-	// _pingTimeout is how long the test may take.
-	_pingTimeout = time.Second
-	// _compressFrom is the size in bytes from which messages are compressed.
-	_compressFrom = 512
+	// _idle is how long an unused connection is kept: longer than the time
+	// between the messages of an order under way. Nodes speak to one of their
+	// zone a second, and each connection that is kept takes some 20 KB.
+	_idle = 3 * time.Second
 	// _maxMessageBytes bounds a message between nodes.
 	_maxMessageBytes = 32 << 20
 	// _maxClients bounds the clients that are kept for reuse.
 	_maxClients = 4_096
 )
 
-// NewTransport returns the transport of control messages between nodes: HTTP/2
-// without TLS, one connection for each peer, whose silent connections are found
-// and closed within three seconds.
+// NewTransport returns the transport of control messages between nodes:
+// HTTP/1.1, one message at a time on a connection. A message that is not
+// answered in time closes its connection, and the next one makes a new one.
+// Messages are not compressed: a compressor takes up to a megabyte.
 func NewTransport() *http.Transport {
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
 	return &http.Transport{
-		DialContext:     (&net.Dialer{Timeout: _dialTimeout}).DialContext,
-		Protocols:       protocols,
-		IdleConnTimeout: _idle,
-		HTTP2: &http.HTTP2Config{
-			SendPingTimeout: _pingAfter,
-			PingTimeout:     _pingTimeout,
-		},
+		DialContext:         (&net.Dialer{Timeout: _dialTimeout}).DialContext,
+		DisableCompression:  true,
+		IdleConnTimeout:     _idle,
+		MaxIdleConnsPerHost: 1,
 	}
 }
 
@@ -77,8 +69,7 @@
 	client := lentilferryv1connect.NewPeerServiceClient(
 		c.http,
 		"http://"+peer.String(),
-		connect.WithSendGzip(),
-		connect.WithCompressMinBytes(_compressFrom),
+		connect.WithAcceptCompression("gzip", nil, nil),
 		connect.WithReadMaxBytes(_maxMessageBytes),
 	)
 	c.byPeer[peer] = client
@@ -88,7 +79,7 @@
 // HandlerOptions returns the options of the handlers between nodes.
 func HandlerOptions() []connect.HandlerOption {
 	return []connect.HandlerOption{
-		connect.WithCompressMinBytes(_compressFrom),
+		connect.WithCompression("gzip", nil, nil),
 		connect.WithReadMaxBytes(_maxMessageBytes),
 	}
 }
