membership, node, platform: Tell news through heralds, and read the store at a tenth

Cause: a change of a node's record was told to all members by that node (114 x 113 exchanges when a region starts: 490 KB a node), each of three followers a zone read at the full price, and every node looked at the rosters of all zones.

--- a/internal/fakes/fakestore/fakestore.go
+++ b/internal/fakes/fakestore/fakestore.go
@@ -31,6 +31,10 @@
 	LateBy time.Duration
 	// DeafWatches keeps watches from hearing of changes.
 	DeafWatches bool
+	// LagBy is how long reads that may lag hear nothing of a change.
+	LagBy time.Duration
+	// Refuses answers 503 to the calls from these addresses.
+	Refuses func(remote string) bool
 }
 
 // Meta is what the store keeps beside an object's content.
@@ -50,6 +54,7 @@
 	kind    string
 	Object  Object `json:"object"`
 	Deleted bool   `json:"deleted"`
+	at      time.Time
 }
 
 // Store is an in-memory store. It is safe for concurrent use.
@@ -62,8 +67,9 @@
 	forgotten uint64
 	changed   chan struct{}
 	faults    Faults
-	calls     int
-	late      sync.WaitGroup
+	// calls counts the calls at the full price, lagging the reads that may lag.
+	calls, lagging int
+	late           sync.WaitGroup
 }
 
 // New returns an empty store.
@@ -79,11 +85,12 @@
 	s.wake()
 }
 
-// Calls returns how many calls the store has had.
-func (s *Store) Calls() int {
+// Calls returns how many calls the store has had at the full price, and how
+// many reads that may lag.
+func (s *Store) Calls() (full, lagging int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.calls
+	return s.calls, s.lagging
 }
 
 // Forget drops the history and cuts all watches.
@@ -129,7 +136,7 @@
 		s.objects[kind] = make(map[string]Object)
 	}
 	s.objects[kind][o.Metadata.Name] = o
-	s.history = append(s.history, event{kind: kind, Object: o})
+	s.history = append(s.history, event{kind: kind, Object: o, at: time.Now()})
 	s.wake()
 	return o
 }
@@ -142,7 +149,11 @@
 // ServeHTTP serves one call.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	s.calls++
+	if mayLag(r) {
+		s.lagging++
+	} else {
+		s.calls++
+	}
 	f := s.faults
 	s.mu.Unlock()
 	// The end of a call is seen only once it was read whole.
@@ -151,6 +162,9 @@
 	case f.Status != 0:
 		w.WriteHeader(f.Status)
 		return
+	case f.Refuses != nil && f.Refuses(r.RemoteAddr):
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
 	case f.Silent:
 		<-r.Context().Done()
 		return
@@ -175,6 +189,11 @@
 	}
 }
 
+// mayLag reports whether a read may show what is seconds old.
+func mayLag(r *http.Request) bool {
+	return r.URL.Query().Get("serializable") == "1"
+}
+
 func (s *Store) list(w http.ResponseWriter, r *http.Request, kind string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -205,8 +224,18 @@
 			return
 		}
 		var events []event
+		lag := s.faults.LagBy
+		if !mayLag(r) {
+			lag = 0
+		}
+		// hidden is how long the oldest change that is not shown yet stays so.
+		hidden := time.Duration(0)
 		for _, e := range s.history {
 			if e.kind == kind && e.Object.Metadata.Rev > after && !s.faults.DeafWatches {
+				if age := time.Since(e.at); age < lag {
+					hidden = lag - age
+					break
+				}
 				events = append(events, e)
 			}
 		}
@@ -216,8 +245,13 @@
 			answer(w, http.StatusOK, map[string]any{"events": events, "as-of": rev})
 			return
 		}
+		var shown <-chan time.Time
+		if hidden > 0 {
+			shown = time.After(hidden)
+		}
 		select {
 		case <-changed:
+		case <-shown:
 		case <-timer.C:
 			answer(w, http.StatusOK, map[string]any{"events": events, "as-of": after})
 			return
--- a/membership/table.go
+++ b/membership/table.go
@@ -310,6 +310,16 @@
 	return r.member, true
 }
 
+// ZoneOf returns the zone of a member, empty for one that is not known.
+func (t *Table) ZoneOf(id NodeID) Zone {
+	for _, zone := range t.zoneNames() {
+		if _, ok := t.Member(zone, id); ok {
+			return zone
+		}
+	}
+	return ""
+}
+
 // Zone returns all that is known of a zone, sorted by ID.
 func (t *Table) Zone(zone Zone) []Member {
 	s := t.shard(zone)
--- a/node/announced.go
+++ b/node/announced.go
@@ -1,8 +1,6 @@
 package node
 
 import (
-	"context"
-	"sync"
 	"time"
 
 	"lentilferry.example/lentilferry/admission"
@@ -75,27 +73,18 @@
 		m.Version = known.Version
 		m.Slots = known.Slots
 	})
-	n.tellSoon()
-}
-
-// tellSoon makes tellNews tell all members what this node knows.
-func (n *Node) tellSoon() {
-	select {
-	case n.news <- struct{}{}:
-	default:
+	if after := n.table.Self(); changesChoice(before, after) {
+		n.herald.Add(membership.ScopeAll, after)
 	}
 }
 
-// tellZoneSoon makes tellNews tell the members of the own zone. Where all of
-// them follow the platform themselves there is nothing to tell.
-func (n *Node) tellZoneSoon() {
-	if n.table.ZoneSize(n.d.Zone) <= _watchers {
-		return
-	}
-	select {
-	case n.zoneNews <- struct{}{}:
-	default:
+// changesChoice reports whether calls are to go elsewhere after a change of a
+// record. That must not wait for gossip.
+func changesChoice(before, after membership.Member) bool {
+	if before.State.TakesWork() != after.State.TakesWork() {
+		return true
 	}
+	return after.State.TakesWork() && (before.Version != after.Version || before.Slots != after.Slots)
 }
 
 // announcedProcess tells the owner which process of the upstream takes calls.
@@ -128,40 +117,3 @@
 	p.node.d.Logger.Info("Upstream takes no connection", "process", id)
 	p.node.settleUpstream(now)
 }
-
-// _tellAtOnce bounds the members that are told at the same time.
-const _tellAtOnce = 8
-
-// tellNews tells all members of a change of this node's record as soon as it
-// happens; gossip reaches those that could not be told.
-func (n *Node) tellNews(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-n.news:
-			n.tell(ctx, n.table.Members())
-		case <-n.zoneNews:
-			n.tell(ctx, n.table.Zone(n.d.Zone))
-		}
-	}
-}
-
-// tell exchanges state with members at once.
-func (n *Node) tell(ctx context.Context, members []membership.Member) {
-	places := make(chan struct{}, _tellAtOnce)
-	var telling sync.WaitGroup
-	for _, m := range members {
-		if m.ID == n.d.ID || m.State.Gone() {
-			continue
-		}
-		places <- struct{}{}
-		telling.Go(func() {
-			defer func() { <-places }()
-			if err := n.gossip.Exchange(ctx, m.ID, m.Peer); err != nil {
-				n.d.Logger.V(1).Info("Member not told", "member", m.ID, "cause", err.Error())
-			}
-		})
-	}
-	telling.Wait()
-}
--- a/node/hosted_integration_test.go
+++ b/node/hosted_integration_test.go
@@ -52,8 +52,10 @@
 	runs map[string]int
 	// fails makes the upstream fail each call.
 	fails atomic.Bool
-	seq   uint64
-	say   func(leaving bool) upstream.Result
+	// fromStore is where the node's calls to the store come from.
+	fromStore func(remote string) bool
+	seq       uint64
+	say       func(leaving bool) upstream.Result
 }
 
 func newHosted(t *testing.T, versions ...config.VersionName) *hosted {
@@ -69,7 +71,7 @@
 	h.base = netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
 	h.configure(1, "")
 	for i, version := range versions {
-		h.start(fmt.Sprint("n", i), version)
+		h.start(fmt.Sprint("n", i), "z", version)
 	}
 	return h
 }
@@ -78,7 +80,7 @@
 	h.store.Put("config", "main", fmt.Sprintf(_hostedDocument, version, more))
 }
 
-func (h *hosted) start(id string, version config.VersionName) *hostedNode {
+func (h *hosted) start(id string, zone membership.Zone, version config.VersionName) *hostedNode {
 	h.t.Helper()
 	n := &hostedNode{runs: make(map[string]int)}
 	server := httptest.NewServer(http.HandlerFunc(n.serveUpstream))
@@ -90,12 +92,23 @@
 		assert.NilError(h.t, err)
 		*into = listener
 	}
-	transport := &http.Transport{}
+	var locals sync.Map
+	transport := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err == nil {
+			locals.Store(conn.LocalAddr().String(), true)
+		}
+		return conn, err
+	}}
+	n.fromStore = func(remote string) bool {
+		_, found := locals.Load(remote)
+		return found
+	}
 	client := platform.NewClient(h.base, transport)
 	periods := node.DefaultPeriods()
 	periods.Gossip, periods.Zones, periods.Health = 50*time.Millisecond, 100*time.Millisecond, 50*time.Millisecond
 	n.Node = node.New(node.Dependencies{
-		ID: membership.NodeID(id), Region: "r", Zone: "z", Peer: netip.MustParseAddrPort(l.Peers.Addr().String()),
+		ID: membership.NodeID(id), Region: "r", Zone: zone, Peer: netip.MustParseAddrPort(l.Peers.Addr().String()),
 		Upstream: node.Upstream{Service: "desk", Address: address, Announced: true},
 		Periods:  periods, Membership: membership.DefaultTiming(), Lease: lease.DefaultTiming(),
 		Platform: client, Source: platform.NewConfigurations(client, wire.Codec{}), Orders: platform.NewOrders(client, klog.Logger{}),
@@ -228,7 +241,7 @@
 	h := newHosted(t, "v1", "v1", "v1")
 	h.until("all serve", h.serving(3))
 	h.store.Put("rollouts", "desk", `{"service":"desk","target-version":"v2","duration":"30s"}`)
-	bad := h.start("bad", "v2")
+	bad := h.start("bad", "z", "v2")
 	bad.fails.Store(true)
 	h.until("the version has a share", func() bool { return bad.ran() > 0 })
 	h.store.SetFaults(fakestore.Faults{Status: http.StatusServiceUnavailable})
@@ -251,3 +264,52 @@
 	})
 	assert.Equal(t, bad.ran(), last)
 }
+
+// A zone whose followers the store turns away, or which only read what lags,
+// takes a change from the followers of other zones.
+func TestHostedChangeReachesAZoneThatCannotRead(t *testing.T) {
+	h := newHosted(t)
+	zones := []membership.Zone{"a", "b", "c"}
+	for i := range 9 {
+		h.start(fmt.Sprint("n", i), zones[i%len(zones)], "v1")
+	}
+	h.until("all serve", h.serving(9))
+	h.store.SetFaults(fakestore.Faults{LagBy: time.Minute, Refuses: func(remote string) bool {
+		for i, n := range h.nodes {
+			if zones[i%len(zones)] == "b" && n.fromStore(remote) {
+				return true
+			}
+		}
+		return false
+	}})
+	changed := time.Now()
+	h.configure(2, `,{"name":"slips","path-prefix":"/slips/","kind":"idempotent","timeout":"2s","service":"desk","attempts":2}`)
+	h.until("all have the change", func() bool {
+		for _, n := range h.nodes {
+			if len(n.Holder().Current().Config.Routes) < 2 {
+				return false
+			}
+		}
+		return true
+	})
+	assert.Assert(t, time.Since(changed) < 2500*time.Millisecond, "took %s", time.Since(changed))
+}
+
+// Of a zone only one node reads at the full price, and few keep the rosters.
+func TestHostedCallsToTheStoreAreFew(t *testing.T) {
+	h := newHosted(t)
+	for i := range 12 {
+		h.start(fmt.Sprint("n", i), "a", "v1")
+	}
+	h.until("all serve", h.serving(12))
+	full, lagging := h.store.Calls()
+	for i := range 10 {
+		h.configure(i+2, "")
+		time.Sleep(300 * time.Millisecond)
+	}
+	fullThen, laggingThen := h.store.Calls()
+	// One follower reads each change, and may wait twice in the meantime; a
+	// relay may look at the rosters.
+	assert.Assert(t, fullThen-full <= 20, "%d calls at the full price", fullThen-full)
+	assert.Assert(t, laggingThen-lagging <= 40, "%d calls that may lag", laggingThen-lagging)
+}
--- /dev/null
+++ b/node/news.go
@@ -0,0 +1,64 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lentilferry.example/lentilferry/membership"
+	"lentilferry.example/lentilferry/peer"
+)
+
+// _tellAtOnce bounds the members that are told at the same time.
+const _tellAtOnce = 8
+
+var _ peer.News = (*Node)(nil)
+
+// Heard passes on what was news from a peer, where that is this node's part.
+func (n *Node) Heard(from membership.Zone, records []membership.Member) {
+	if from != "" && n.table.Passes(from) {
+		n.herald.Add(membership.ScopeZone, records...)
+	}
+}
+
+// tellNews tells other members what is news as soon as it happens; gossip
+// reaches those that could not be told.
+func (n *Node) tellNews(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.herald.Changed():
+		}
+		for ctx.Err() == nil {
+			round, due, left := n.herald.Take(n.d.Now())
+			if !due && left == 0 {
+				break
+			}
+			if !due {
+				wait(ctx, left)
+				continue
+			}
+			n.tell(ctx, round)
+		}
+	}
+}
+
+// tell exchanges state with the members of a round at once.
+func (n *Node) tell(ctx context.Context, round membership.Round) {
+	began := n.d.Now()
+	places := make(chan struct{}, _tellAtOnce)
+	var telling sync.WaitGroup
+	audience := n.table.Audience(round.Scope)
+	for _, m := range audience {
+		places <- struct{}{}
+		telling.Go(func() {
+			defer func() { <-places }()
+			if err := n.gossip.Tell(ctx, m, round.Records); err != nil {
+				n.d.Logger.V(1).Info("Member not told", "member", m.ID, "cause", err.Error())
+			}
+		})
+	}
+	telling.Wait()
+	n.d.Logger.V(1).Info("Told news", "records", len(round.Records), "members", len(audience), "took", n.d.Now().Sub(began).Round(time.Millisecond))
+}
--- a/node/node.go
+++ b/node/node.go
@@ -44,6 +44,9 @@
 type Platform interface {
 	control.Platform
 	Watch(ctx context.Context, kind objectstore.Kind, after uint64) (objectstore.Events, error)
+	// ListLagging lists a kind as it was some seconds ago at most, where that
+	// costs the platform less.
+	ListLagging(ctx context.Context, kind objectstore.Kind) ([]objectstore.Object, uint64, error)
 }
 
 var _ Platform = (*objectstore.HTTPClient)(nil)
@@ -69,9 +72,9 @@
 // than in the product's own head object.
 type Source interface {
 	// Next waits for a configuration that was not seen yet, and returns nil
-	// when none came in time. The error is revision.ErrInvalid for one that
-	// can't be used.
-	Next(ctx context.Context) (*revision.Snapshot, error)
+	// when none came in time. With mayLag it costs less and may be seconds
+	// late. The error is revision.ErrInvalid for one that can't be used.
+	Next(ctx context.Context, mayLag bool) (*revision.Snapshot, error)
 }
 
 // Service is a further socket of the node and what it serves.
@@ -217,12 +220,10 @@
 	moveDetectors map[string]*evidence.Detector
 	// idle holds the unused connections of callers.
 	idle *idleConns
-	// news holds a token after this node's record has changed.
-	news chan struct{}
-	// zoneNews holds a token after there was news for the own zone.
-	zoneNews chan struct{}
-	drained  chan struct{}
-	stop     sync.Once
+	// herald holds what is to be told to other members at once.
+	herald  *membership.Herald
+	drained chan struct{}
+	stop    sync.Once
 }
 
 const (
@@ -268,8 +269,7 @@
 		pilots:        make(map[string]*move.Pilot),
 		moveDetectors: make(map[string]*evidence.Detector),
 		idle:          newIdleConns(),
-		news:          make(chan struct{}, 1),
-		zoneNews:      make(chan struct{}, 1),
+		herald:        membership.NewHerald(),
 		drained:       make(chan struct{}),
 		vars:          new(expvar.Map),
 	}
@@ -311,6 +311,7 @@
 		Replica:     n.replica,
 		Quarantines: n.quarantines,
 		Orders:      n,
+		News:        n,
 		Active:      n.isActive,
 		Clients:     n.clients,
 		Logger:      n.d.Logger,
--- a/node/orders.go
+++ b/node/orders.go
@@ -19,8 +19,9 @@
 // Orders gives a node the orders to move services between versions, and keeps
 // what was decided on them.
 type Orders interface {
-	// Next waits for changes and returns the orders that have changed.
-	Next(ctx context.Context) ([]move.Order, error)
+	// Next waits for changes and returns the orders that have changed. With
+	// mayLag it costs less and may be seconds late.
+	Next(ctx context.Context, mayLag bool) ([]move.Order, error)
 	// Read returns a service's order as it is stored now.
 	Read(ctx context.Context, service config.ServiceName) (move.Order, error)
 	// Save stores progress with an order that must not have changed since.
@@ -55,11 +56,12 @@
 	pause.MaxInterval = _sourcePauseMost
 	lost := false
 	for ctx.Err() == nil {
-		if !n.isWatcher() {
+		watches, mayLag := n.watches()
+		if !watches {
 			wait(ctx, _watcherCheck)
 			continue
 		}
-		orders, err := n.d.Orders.Next(ctx)
+		orders, err := n.d.Orders.Next(ctx, mayLag)
 		if ctx.Err() != nil {
 			return
 		}
@@ -78,7 +80,7 @@
 		pause.Reset()
 		for _, o := range orders {
 			if n.learnOrder(o) {
-				n.tellZoneSoon()
+				n.herald.Add(membership.ScopeNear)
 			}
 		}
 	}
@@ -89,9 +91,9 @@
 	return n.book.Orders(now)
 }
 
-// HearOrder takes in an order from a peer.
-func (n *Node) HearOrder(o move.Order) {
-	n.learnOrder(o)
+// HearOrder takes in an order from a peer and reports whether it was news.
+func (n *Node) HearOrder(o move.Order) bool {
+	return n.learnOrder(o)
 }
 
 // learnOrder takes in an order and reports whether it was news.
@@ -246,7 +248,7 @@
 	saved.Progress = next
 	changed := next.State != u.Order.Progress.State || next.Share != u.Order.Progress.Share
 	if n.learnOrder(saved) && changed {
-		n.tellSoon()
+		n.herald.Add(membership.ScopeAll)
 	}
 }
 
@@ -265,7 +267,7 @@
 	}
 	n.d.Logger.Info("Quarantined version", "service", o.Service, "version", o.Candidate, "reason", reason)
 	n.settleUpstream(n.d.Now())
-	n.tellSoon()
+	n.herald.Add(membership.ScopeAll)
 }
 
 // readOrder learns an order as it is stored, after a write that another one
--- a/node/relay.go
+++ b/node/relay.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -27,6 +28,9 @@
 	// rosters, and _rosterEvery that between later ones.
 	_rosterFirst = time.Second
 	_rosterEvery = time.Minute
+	// _contacts is how many peers a starting node makes contact with. Each tells
+	// it all members that it knows: the second may know others.
+	_contacts = 2
 	// _rosterSize is how many first contacts a roster names.
 	_rosterSize = 8
 	// _loadTimeout bounds the loading of a revision from the platform.
@@ -148,7 +152,7 @@
 	if !k.due(n.d.Now()) {
 		return nil
 	}
-	objects, _, err := n.d.Platform.List(ctx, objectstore.KindRoster)
+	objects, _, err := n.d.Platform.ListLagging(ctx, objectstore.KindRoster)
 	if err != nil {
 		return errors.Wrap(err, "list rosters")
 	}
@@ -168,7 +172,14 @@
 	for _, m := range n.table.Members() {
 		known[m.Peer] = known[m.Peer] || !m.State.Gone()
 	}
-	n.contactAny(ctx, slices.DeleteFunc(peers, func(p netip.AddrPort) bool { return known[p] }))
+	for _, address := range peers {
+		if address == n.d.Peer || known[address] {
+			continue
+		}
+		if err := n.gossip.Exchange(ctx, "", address); err != nil {
+			n.d.Logger.V(1).Info("First contact not reached", "peer", address, "cause", err.Error())
+		}
+	}
 }
 
 func (n *Node) writeRoster(ctx context.Context, stored objectstore.Object) error {
@@ -212,41 +223,54 @@
 	pause.InitialInterval = _firstPause
 	pause.MaxInterval = _longestPause
 	pause.RandomizationFactor = 1
-	for ctx.Err() == nil {
-		if n.contactAny(ctx, append(slices.Clone(n.d.Seeds), n.listRosters(ctx)...)) {
+	// What a roster names changes little; a list that lags will do at first.
+	for mayLag := true; ctx.Err() == nil; mayLag = !mayLag {
+		own, others := n.listRosters(ctx, mayLag)
+		// Whoever answers tells all members that it knows.
+		if n.contactAny(ctx, append(slices.Clone(n.d.Seeds), own...)) || n.contactAny(ctx, others) {
 			return
 		}
 		wait(ctx, pause.NextBackOff())
 	}
 }
 
-// contactAny exchanges state with the peers and reports whether one of
-// another node answered.
+// contactAny exchanges state with the peers, in a random order, until
+// _contacts of other nodes have answered, and reports whether one has.
 func (n *Node) contactAny(ctx context.Context, peers []netip.AddrPort) bool {
-	reached := false
+	reached := 0
+	peers = slices.Clone(peers)
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, address := range peers {
 		if address == n.d.Peer {
 			continue
 		}
 		if err := n.gossip.Exchange(ctx, "", address); err == nil {
-			reached = true
+			reached++
+		}
+		if reached >= _contacts {
+			break
 		}
 	}
-	return reached
+	return reached > 0
 }
 
-func (n *Node) listRosters(ctx context.Context) []netip.AddrPort {
-	objects, _, err := n.d.Platform.List(ctx, objectstore.KindRoster)
+// listRosters returns the first contacts of the own zone and of the others.
+func (n *Node) listRosters(ctx context.Context, mayLag bool) (own, others []netip.AddrPort) {
+	list := n.d.Platform.List
+	if mayLag {
+		list = n.d.Platform.ListLagging
+	}
+	objects, _, err := list(ctx, objectstore.KindRoster)
 	if err != nil {
-		return nil
+		n.d.Logger.V(1).Info("Rosters not read", "cause", err.Error())
+		return nil, nil
 	}
-	var own, other []netip.AddrPort
 	for _, object := range objects {
 		if object.Key.Name == string(n.d.Zone) {
 			own = append(own, n.rosterOf(object)...)
 		} else {
-			other = append(other, n.rosterOf(object)...)
+			others = append(others, n.rosterOf(object)...)
 		}
 	}
-	return append(own, other...)
+	return own, others
 }
--- a/node/source.go
+++ b/node/source.go
@@ -26,8 +26,9 @@
 
 const (
 	// _watchers is how many nodes of a zone follow the platform's configuration
-	// and orders; the others hear of them from these. Each call of the store is
-	// paid for.
+	// and orders; the others hear of them from these. The first of them reads
+	// what is newest; the others, in case it fails, read what costs a tenth and
+	// may lag.
 	_watchers = 3
 	// _roleWatcher is the role of following them.
 	_roleWatcher = "watcher"
@@ -35,8 +36,15 @@
 	_watcherCheck = 200 * time.Millisecond
 )
 
-func (n *Node) isWatcher() bool {
-	return membership.IsChosen(n.table.Zone(n.d.Zone), _roleWatcher, _watchers, n.d.ID)
+// watches reports whether this node follows the platform, and whether what it
+// reads may lag.
+func (n *Node) watches() (watches, mayLag bool) {
+	for i, m := range membership.Chosen(n.table.Zone(n.d.Zone), _roleWatcher, _watchers) {
+		if m.ID == n.d.ID {
+			return true, i > 0
+		}
+	}
+	return false, false
 }
 
 // followSource takes over each newer configuration that the source gives.
@@ -46,13 +54,14 @@
 	pause.MaxInterval = _sourcePauseMost
 	lost, waited := false, false
 	for ctx.Err() == nil {
-		if !n.isWatcher() {
+		watches, mayLag := n.watches()
+		if !watches {
 			waited = false
 			wait(ctx, _watcherCheck)
 			continue
 		}
 		began, before := n.d.Now(), n.holder.Number()
-		snapshot, err := n.d.Source.Next(ctx)
+		snapshot, err := n.d.Source.Next(ctx, mayLag)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -73,11 +82,11 @@
 		pause.Reset()
 		isNews := snapshot != nil && n.take(snapshot)
 		if isNews {
-			n.tellZoneSoon()
+			n.herald.Add(membership.ScopeNear)
 		}
 		if isNews && before != 0 && waited && n.d.Now().Sub(began) < _missedWithin {
 			n.d.Logger.Info("Configuration was missed", "revision", snapshot.Manifest.Number, "note", "telling all members")
-			n.tellSoon()
+			n.herald.Add(membership.ScopeAll)
 		}
 		waited = snapshot == nil
 		wait(ctx, _sourcePause)
@@ -96,7 +105,13 @@
 // are not known yet.
 func (n *Node) followRosters(ctx context.Context) {
 	var roster rosterKeeper
+	// Nodes that start together need only one to name itself.
+	wait(ctx, n.jitter(_rosterFirst))
 	for ctx.Err() == nil {
+		if !n.isRelay() {
+			wait(ctx, _roleCheck)
+			continue
+		}
 		if err := n.keepRoster(ctx, &roster); err != nil {
 			n.d.Logger.Info("Rosters not read", "cause", err.Error())
 			roster.pause = 0
--- a/objectstore/objectstore_http.go
+++ b/objectstore/objectstore_http.go
@@ -97,6 +97,11 @@
 	return fromWire(w), nil
 }
 
+// ListLagging is List: this platform has no cheaper reads.
+func (c *HTTPClient) ListLagging(ctx context.Context, kind Kind) ([]Object, uint64, error) {
+	return c.List(ctx, kind)
+}
+
 // List reads all objects of a kind and the version to watch from. The error
 // is ErrUnavailable.
 func (c *HTTPClient) List(ctx context.Context, kind Kind) ([]Object, uint64, error) {
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -41,8 +41,16 @@
 // Orders are the orders to move services that a node knows.
 type Orders interface {
 	Orders(now time.Time) []move.Order
-	// HearOrder takes in an order from a peer, which may be older than what is known.
-	HearOrder(o move.Order)
+	// HearOrder takes in an order from a peer, which may be older than what is
+	// known, and reports whether it was news.
+	HearOrder(o move.Order) bool
+}
+
+// News is told what was news from a peer, so that it can be passed on.
+type News interface {
+	// Heard takes in the records that were news from a peer of the given zone,
+	// none where something else was.
+	Heard(from membership.Zone, records []membership.Member)
 }
 
 // GossipDependencies are what a Gossip is built from.
@@ -53,6 +61,7 @@
 	Quarantines *quarantine.Set
 	// Orders holds the orders to move services.
 	Orders Orders
+	News   News
 	// Active reports whether a rollout is under way, as far as this node knows.
 	Active  func(rollout string) bool
 	Clients Caller
@@ -108,9 +117,19 @@
 
 // Exchange exchanges state with one peer. An empty ID takes whoever answers.
 func (g *Gossip) Exchange(ctx context.Context, id membership.NodeID, peer netip.AddrPort) error {
+	return g.exchange(ctx, id, peer, nil)
+}
+
+// Tell exchanges state with one member, and tells it the given records.
+func (g *Gossip) Tell(ctx context.Context, to membership.Member, records []membership.Member) error {
+	return g.exchange(ctx, to.ID, to.Peer, records)
+}
+
+func (g *Gossip) exchange(ctx context.Context, id membership.NodeID, peer netip.AddrPort, records []membership.Member) error {
 	ctx, cancel := context.WithTimeout(ctx, _probeTimeout)
 	defer cancel()
 	request := g.request(id)
+	request.Updates = append(request.Updates, wire.EncodeMembers(records)...)
 	response, err := g.d.Clients.To(peer).Exchange(ctx, connect.NewRequest(request))
 	if err != nil {
 		return errors.Wrapf(err, "exchange with %s", peer)
@@ -119,13 +138,14 @@
 		return errors.Newf("exchange with %s: %q answered in place of %q", peer, from, id)
 	}
 	g.absorb(peerState{
+		from:        membership.NodeID(response.Msg.GetFrom()),
 		updates:     response.Msg.GetUpdates(),
 		digests:     response.Msg.GetDigests(),
 		quarantines: response.Msg.GetQuarantines(),
 		orders:      response.Msg.GetOrders(),
 	})
 	if response.Msg.GetRevision() > g.d.Holder.Number() {
-		go g.Pull(context.WithoutCancel(ctx), peer)
+		go g.pullAndPass(context.WithoutCancel(ctx), peer, membership.NodeID(response.Msg.GetFrom()))
 	}
 	return nil
 }
@@ -145,6 +165,7 @@
 
 // peerState is what a peer says in an exchange.
 type peerState struct {
+	from        membership.NodeID
 	updates     []*lentilferryv1.Member
 	digests     []*lentilferryv1.ZoneDigest
 	quarantines []*lentilferryv1.Quarantine
@@ -153,23 +174,32 @@
 
 func (g *Gossip) absorb(w peerState) {
 	now := g.d.Now()
+	var records []membership.Member
 	for _, m := range wire.DecodeMembers(w.updates) {
-		g.d.Table.Merge(now, m)
+		if g.d.Table.Merge(now, m) {
+			records = append(records, m)
+		}
 	}
+	news := len(records) > 0
 	g.d.Table.Heard(now, wire.DecodeDigests(w.digests))
 	for _, o := range wire.DecodeOrders(w.orders) {
-		g.d.Orders.HearOrder(o)
+		news = g.d.Orders.HearOrder(o) || news
 	}
 	for _, q := range wire.DecodeQuarantines(w.quarantines) {
 		if g.d.Active(q.Rollout) && g.d.Quarantines.Add(q) {
+			news = true
 			g.d.Logger.Info("Quarantined version", "zone", q.Zone, "service", q.Service, "version", q.Version, "reason", q.Reason)
 		}
 	}
+	if news {
+		g.d.News.Heard(g.d.Table.ZoneOf(w.from), records)
+	}
 }
 
 // Answer answers an exchange that a peer began.
 func (g *Gossip) Answer(request *lentilferryv1.ExchangeRequest) *lentilferryv1.ExchangeResponse {
 	g.absorb(peerState{
+		from:        membership.NodeID(request.GetFrom()),
 		updates:     request.GetUpdates(),
 		digests:     request.GetDigests(),
 		quarantines: request.GetQuarantines(),
@@ -195,11 +225,18 @@
 	if request.GetRevision() <= g.d.Holder.Number() {
 		return
 	}
-	for _, m := range g.d.Table.Members() {
-		if string(m.ID) == request.GetFrom() {
-			go g.Pull(context.Background(), m.Peer)
-			return
-		}
+	from := membership.NodeID(request.GetFrom())
+	if m, ok := g.d.Table.Member(g.d.Table.ZoneOf(from), from); ok {
+		go g.pullAndPass(context.Background(), m.Peer, from)
+	}
+}
+
+// pullAndPass reads a newer revision from a peer, and says that it was news.
+func (g *Gossip) pullAndPass(ctx context.Context, peer netip.AddrPort, from membership.NodeID) {
+	before := g.d.Holder.Number()
+	g.Pull(ctx, peer)
+	if g.d.Holder.Number() > before {
+		g.d.News.Heard(g.d.Table.ZoneOf(from), nil)
 	}
 }
 
