membership, peer: Tell news without state

Cause: each telling carried the digests of all zones and asked for what differs, and every follower of a zone told two other zones.

--- a/membership/herald.go
+++ b/membership/herald.go
@@ -14,8 +14,8 @@
 const (
 	// ScopeZone is the node's own zone.
 	ScopeZone Scope = iota + 1
-	// ScopeNear adds the heralds of the zones that come next in the order of
-	// the names. It is for news that each zone should have from elsewhere too.
+	// ScopeNear adds a herald of each of the zones that come next in the order
+	// of the names. It is for news that each zone should have from elsewhere too.
 	ScopeNear
 	// ScopeAll adds the heralds of all other zones, who tell their zones.
 	ScopeAll
@@ -114,9 +114,7 @@
 	}
 	zones := t.OtherZones()
 	if scope == ScopeNear {
-		next, _ := slices.BinarySearch(zones, self.Zone)
-		zones = append(slices.Clone(zones[next:]), zones[:next]...)
-		zones = zones[:min(_nearZones, len(zones))]
+		return append(audience, t.nearHeralds(zones)...)
 	}
 	for _, zone := range zones {
 		audience = append(audience, Chosen(t.Zone(zone), _roleHerald, _heralds)...)
@@ -124,6 +122,20 @@
 	return audience
 }
 
+// nearHeralds returns a herald of each near zone, another one for each zone
+// that tells it, so that one which is gone does not keep the news from a zone.
+func (t *Table) nearHeralds(zones []Zone) []Member {
+	next, _ := slices.BinarySearch(zones, t.Self().Zone)
+	zones = append(slices.Clone(zones[next:]), zones[:next]...)
+	var heralds []Member
+	for i, zone := range zones[:min(_nearZones, len(zones))] {
+		if chosen := Chosen(t.Zone(zone), _roleHerald, _heralds); len(chosen) > 0 {
+			heralds = append(heralds, chosen[i%len(chosen)])
+		}
+	}
+	return heralds
+}
+
 // IsHerald reports whether this node takes news for its zone.
 func (t *Table) IsHerald() bool {
 	self := t.Self()
--- a/node/orders.go
+++ b/node/orders.go
@@ -80,7 +80,7 @@
 		pause.Reset()
 		for _, o := range orders {
 			if n.learnOrder(o) {
-				n.herald.Add(membership.ScopeNear)
+				n.herald.Add(followedScope(mayLag))
 			}
 		}
 	}
--- a/node/source.go
+++ b/node/source.go
@@ -36,6 +36,15 @@
 	_watcherCheck = 200 * time.Millisecond
 )
 
+// followedScope is how far a follower tells what it has read. Where the first
+// one of a zone fails, other zones still hear from theirs.
+func followedScope(mayLag bool) membership.Scope {
+	if mayLag {
+		return membership.ScopeZone
+	}
+	return membership.ScopeNear
+}
+
 // watches reports whether this node follows the platform, and whether what it
 // reads may lag.
 func (n *Node) watches() (watches, mayLag bool) {
@@ -82,7 +91,7 @@
 		pause.Reset()
 		isNews := snapshot != nil && n.take(snapshot)
 		if isNews {
-			n.herald.Add(membership.ScopeNear)
+			n.herald.Add(followedScope(mayLag))
 		}
 		if isNews && before != 0 && waited && n.d.Now().Sub(began) < _missedWithin {
 			n.d.Logger.Info("Configuration was missed", "revision", snapshot.Manifest.Number, "note", "telling all members")
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -117,19 +117,24 @@
 
 // Exchange exchanges state with one peer. An empty ID takes whoever answers.
 func (g *Gossip) Exchange(ctx context.Context, id membership.NodeID, peer netip.AddrPort) error {
-	return g.exchange(ctx, id, peer, nil)
+	request := g.request(id)
+	request.Updates = wire.EncodeMembers(g.d.Table.Updates())
+	request.Digests = wire.EncodeDigests(g.d.Table.Digests(g.d.Now()))
+	return g.send(ctx, id, peer, request)
 }
 
-// Tell exchanges state with one member, and tells it the given records.
+// Tell tells one member the given records, the revision held here, orders and
+// quarantines, and no more.
 func (g *Gossip) Tell(ctx context.Context, to membership.Member, records []membership.Member) error {
-	return g.exchange(ctx, to.ID, to.Peer, records)
+	request := g.request(to.ID)
+	request.Updates = wire.EncodeMembers(records)
+	request.Tells = true
+	return g.send(ctx, to.ID, to.Peer, request)
 }
 
-func (g *Gossip) exchange(ctx context.Context, id membership.NodeID, peer netip.AddrPort, records []membership.Member) error {
+func (g *Gossip) send(ctx context.Context, id membership.NodeID, peer netip.AddrPort, request *lentilferryv1.ExchangeRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, _probeTimeout)
 	defer cancel()
-	request := g.request(id)
-	request.Updates = append(request.Updates, wire.EncodeMembers(records)...)
 	response, err := g.d.Clients.To(peer).Exchange(ctx, connect.NewRequest(request))
 	if err != nil {
 		return errors.Wrapf(err, "exchange with %s", peer)
@@ -156,8 +161,6 @@
 		From:        string(g.d.Table.Self().ID),
 		To:          string(to),
 		Revision:    g.d.Holder.Number(),
-		Updates:     wire.EncodeMembers(g.d.Table.Updates()),
-		Digests:     wire.EncodeDigests(g.d.Table.Digests(now)),
 		Quarantines: wire.EncodeQuarantines(g.d.Quarantines.All()),
 		Orders:      wire.EncodeOrders(g.d.Orders.Orders(now)),
 	}
@@ -207,9 +210,12 @@
 	})
 	now := g.d.Now()
 	self := g.d.Table.Self()
+	g.pullFrom(request)
+	if request.GetTells() {
+		return &lentilferryv1.ExchangeResponse{From: string(self.ID), Revision: g.d.Holder.Number()}
+	}
 	members := g.d.Table.Updates()
 	members = append(members, g.d.Table.Differing(now, wire.DecodeDigests(request.GetDigests()))...)
-	g.pullFrom(request)
 	return &lentilferryv1.ExchangeResponse{
 		From:        string(self.ID),
 		Revision:    g.d.Holder.Number(),
