--- a/revision/holder.go
+++ b/revision/holder.go
@@ -36,8 +36,9 @@
 	changed chan struct{}
 }
 
-// _recentManifests is how many manifests deltas can start from.
-const _recentManifests = 16
+// _recentManifests is how many manifests deltas can start from. Nodes are a few
+// revisions behind at most, and one of 800 routes takes 60 KB.
+const _recentManifests = 4
 
 // NewHolder returns a holder without a snapshot.
 func NewHolder() *Holder {
