--- a/lentilferryd/main.go
+++ b/lentilferryd/main.go
@@ -236,7 +236,7 @@
 		into    *net.Listener
 	}{
 		{"callAddress", s.CallAddress, &l.Calls},
-		{"peerAddress", s.PeerAddress, &l.Peers},
+		{"peerListenAddress", s.PeerListen, &l.Peers},
 		{"adminAddress", s.AdminAddress, &l.Admin},
 	} {
 		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", socket.address.String())
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -50,11 +50,14 @@
 
 // Settings are a node's checked settings.
 type Settings struct {
-	ID           membership.NodeID
-	Region       membership.Region
-	Zone         membership.Zone
-	CallAddress  netip.AddrPort
-	PeerAddress  netip.AddrPort
+	ID          membership.NodeID
+	Region      membership.Region
+	Zone        membership.Zone
+	CallAddress netip.AddrPort
+	PeerAddress netip.AddrPort
+	// PeerListen is where other nodes' messages arrive; PeerAddress unless a
+	// forwarder stands between.
+	PeerListen   netip.AddrPort
 	AdminAddress netip.AddrPort
 	Platform     *url.URL
 	// Hosted is set where the node runs on the users' platform.
@@ -108,6 +111,7 @@
 		{name: "zone", help: "availability zone of this VM"},
 		{name: "call-address", defaultValue: "127.0.0.1:7901", help: "IP:port that callers use"},
 		{name: "peer-address", defaultValue: "127.0.0.1:7902", help: "IP:port that other nodes use"},
+		{name: "peer-listen-address", help: "IP:port to listen at for other nodes where that is not peerAddress, as behind a forwarder"},
 		{name: "admin-address", defaultValue: "127.0.0.1:7903", help: "IP:port for operators, health checks and metrics"},
 		{name: "platform-url", help: "root of the platform's object API"},
 		{name: "platform-protocol", defaultValue: _protocolNative, help: "how the platform speaks: native for the product's own object API, hosted for the users' platform"},
@@ -247,6 +251,10 @@
 		},
 		Verbosity: r.number("verbosity", 0, 9),
 	}
+	s.PeerListen = s.PeerAddress
+	if r.text("peer-listen-address") != "" {
+		s.PeerListen = r.address("peer-listen-address")
+	}
 	if s.Hosted {
 		s.AnnounceAddress = r.address("announce-address")
 		s.Upstream.Announced = true
@@ -397,6 +405,15 @@
 	return u
 }
 
+// listensApart returns the address to listen at for other nodes where it is
+// not the one that they use.
+func (r *reader) listensApart(s Settings) netip.AddrPort {
+	if s.PeerListen == s.PeerAddress {
+		return netip.AddrPort{}
+	}
+	return s.PeerListen
+}
+
 // distinct checks that no two sockets share an address.
 func (r *reader) distinct(s Settings) {
 	seen := make(map[netip.AddrPort]string)
@@ -406,6 +423,7 @@
 	}{
 		{"call-address", s.CallAddress},
 		{"peer-address", s.PeerAddress},
+		{"peer-listen-address", r.listensApart(s)},
 		{"admin-address", s.AdminAddress},
 		{"upstream-address", s.Upstream.Address},
 		{"announce-address", s.AnnounceAddress},
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -128,3 +128,15 @@
 	assert.ErrorContains(t, err, `retrySlack: "-1" is not a number from 0 to 1000000`)
 	assert.ErrorContains(t, err, `memoryLimit: "NaN" is not a number from 32 to 65536`)
 }
+
+// A node behind a forwarder listens elsewhere than where it is reached.
+func TestPeerListenAddress(t *testing.T) {
+	s, _, err := Load(with("--peer-address", "10.0.0.7:7902"))
+	assert.NilError(t, err)
+	assert.Equal(t, s.PeerListen, s.PeerAddress)
+	s, _, err = Load(with("--peer-address", "10.0.0.7:7902", "--peer-listen-address", "127.0.0.1:7999"))
+	assert.NilError(t, err)
+	assert.Equal(t, s.PeerListen.String(), "127.0.0.1:7999")
+	_, _, err = Load(with("--peer-listen-address", "127.0.0.1:7901"))
+	assert.ErrorContains(t, err, "peerListenAddress: 127.0.0.1:7901 is callAddress too")
+}
