--- a/node/hosted_integration_test.go
+++ b/node/hosted_integration_test.go
@@ -34,6 +34,9 @@
 "vhosts":[{"host":"h.example","paths":[
 {"name":"batches","path-prefix":"/batches/","kind":"non_idempotent","timeout":"2s","target-latency":"500ms","priority":0,"service":"desk","attempts":2}%s]}]}`
 
+// _drainAtMost is the longest wait for calls at a planned stop in these tests.
+const _drainAtMost = time.Second
+
 // hosted is a few nodes on a stand-in of the users' platform.
 type hosted struct {
 	t     *testing.T
@@ -50,12 +53,14 @@
 	// runs counts the calls that the upstream ran, by their identity.
 	mu   sync.Mutex
 	runs map[string]int
-	// fails makes the upstream fail each call.
-	fails atomic.Bool
+	// fails makes the upstream fail each call, hangs keep it unanswered.
+	fails, hangs atomic.Bool
 	// fromStore is where the node's calls to the store come from.
 	fromStore func(remote string) bool
-	seq       uint64
-	say       func(leaving bool) upstream.Result
+	// done is closed when the node has ended.
+	done chan struct{}
+	seq  uint64
+	say  func(leaving bool) upstream.Result
 }
 
 func newHosted(t *testing.T, versions ...config.VersionName) *hosted {
@@ -106,6 +111,7 @@
 	}
 	client := platform.NewClient(h.base, transport)
 	periods := node.DefaultPeriods()
+	periods.DrainAtMost, periods.LeaveNotice = _drainAtMost, 50*time.Millisecond
 	periods.Gossip, periods.Zones, periods.Health = 50*time.Millisecond, 100*time.Millisecond, 50*time.Millisecond
 	n.Node = node.New(node.Dependencies{
 		ID: membership.NodeID(id), Region: "r", Zone: zone, Peer: netip.MustParseAddrPort(l.Peers.Addr().String()),
@@ -123,6 +129,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
+	n.done = done
 	go func() {
 		defer close(done)
 		defer transport.CloseIdleConnections()
@@ -143,6 +150,12 @@
 	n.mu.Lock()
 	n.runs[id]++
 	n.mu.Unlock()
+	if n.hangs.Load() {
+		select {
+		case <-r.Context().Done():
+		case <-time.After(_patience):
+		}
+	}
 	w.Header().Set("X-Attempt-Id", id)
 	w.Header().Set("X-Server-Seal", "s")
 	if n.fails.Load() {
@@ -165,7 +178,10 @@
 	request.Header.Set("X-Attempt-Id", fmt.Sprint("a", h.ids.Add(1)))
 	request.Header.Set("X-Deadline-Ms", "3000")
 	response, err := _hostedCaller.Do(request)
-	assert.NilError(h.t, err)
+	if err != nil {
+		// The node has cut the call.
+		return 0
+	}
 	_ = response.Body.Close()
 	return response.StatusCode
 }
@@ -315,3 +331,33 @@
 	assert.Assert(t, fullThen-full <= 20, "%d calls at the full price", fullThen-full)
 	assert.Assert(t, laggingThen-lagging <= 40, "%d calls that may lag", laggingThen-lagging)
 }
+
+// A planned stop that waits for a call in vain, among peers that do not
+// answer, ends half a second after the time that calls have: the platform
+// leaves little more.
+func TestHostedStopEndsInTime(t *testing.T) {
+	h := newHosted(t, "v1")
+	n := h.nodes[0]
+	h.until("it serves", h.serving(1))
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = silent.Close() }()
+	for i := range 8 {
+		n.Members().Merge(time.Now(), membership.Member{
+			ID: membership.NodeID(fmt.Sprint("silent-", i)), Incarnation: 1, State: membership.Serving, Region: "r", Zone: "z",
+			Peer: netip.MustParseAddrPort(silent.Addr().String()),
+		})
+	}
+	n.hangs.Store(true)
+	ran := n.ran()
+	var calling sync.WaitGroup
+	calling.Go(func() { h.call(n, "/batches/1") })
+	for n.ran() == ran {
+		time.Sleep(time.Millisecond)
+	}
+	began := time.Now()
+	n.Stop()
+	<-n.done
+	assert.Assert(t, time.Since(began) < _drainAtMost+500*time.Millisecond, "took %s", time.Since(began))
+	calling.Wait()
+}
--- a/node/servers.go
+++ b/node/servers.go
@@ -121,8 +121,8 @@
 	// use up the time that a planned stop has.
 	_tellTimeout = 300 * time.Millisecond
 	// _closeTimeout bounds the closing of the servers after the drain: no call
-	// is left by then.
-	_closeTimeout = 500 * time.Millisecond
+	// that could still be answered is left by then.
+	_closeTimeout = 200 * time.Millisecond
 )
 
 // shutdown waits for a planned stop or the end of the context.
@@ -136,6 +136,10 @@
 		return nil
 	}
 	n.drain(ctx)
+	var telling sync.WaitGroup
+	// The node's own context is about to end.
+	telling.Go(func() { n.tellLeaving(context.WithoutCancel(ctx)) })
+	defer telling.Wait()
 	cancel()
 	// The node's own context is over; the servers get a little time.
 	last, done := context.WithTimeout(context.WithoutCancel(ctx), _closeTimeout)
@@ -176,7 +180,6 @@
 	n.controller.Stop(ctx)
 	n.lifecycle.Leave()
 	n.announce(membership.Left)
-	n.tellLeaving(ctx)
 	n.d.Logger.Info("Left", "node", n.d.ID)
 }
 
