node: Wait for a call to be run before the stop that is tested

The pool of upstreams follows the members by up to 20 ms, so that the first calls may still be refused; the test waited for one of them without end.

--- a/node/hosted_integration_test.go
+++ b/node/hosted_integration_test.go
@@ -351,9 +351,13 @@
 	n.hangs.Store(true)
 	ran := n.ran()
 	var calling sync.WaitGroup
-	calling.Go(func() { h.call(n, "/batches/1") })
-	for n.ran() == ran {
-		time.Sleep(time.Millisecond)
+	calling.Go(func() {
+		for n.ran() == ran {
+			t.Log("answered", h.call(n, "/batches/1"))
+		}
+	})
+	for end := time.Now().Add(_patience); n.ran() == ran; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "no call was run")
 	}
 	began := time.Now()
 	n.Stop()
