node: Record that a restarted node forgets a departed upstream

The node confirmed a departure at 24.2 s, was stopped and started by the rolling stop, and ran calls on the leaving process at 26.9 s. Cause: what was confirmed is kept in the process alone.

--- a/node/hosted_integration_test.go
+++ b/node/hosted_integration_test.go
@@ -365,3 +365,22 @@
 	assert.Assert(t, time.Since(began) < _drainAtMost+500*time.Millisecond, "took %s", time.Since(began))
 	calling.Wait()
 }
+
+// An upstream departs, which its node confirms; the node restarts; a heartbeat
+// from before the departure comes late. The confirmation still binds: no call
+// may be run there.
+func TestHostedRestartedOwnerKeepsLeaving(t *testing.T) {
+	h := newHosted(t, "v1", "v1")
+	h.until("both serve", h.serving(2))
+	first := h.nodes[0]
+	assert.Equal(t, first.Depart(time.Now(), "i-n0"), upstream.Accepted)
+	first.Stop()
+	<-first.done
+	// The first announcement of a node started here stands for the late one.
+	restarted := h.start("n0", "z", "v1")
+	for range 200 {
+		h.call(h.nodes[1], "/batches/1")
+		h.call(restarted, "/batches/1")
+	}
+	assert.Equal(t, restarted.ran(), 0)
+}
