--- a/soak/main.go
+++ b/soak/main.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -167,7 +168,7 @@
 func (o *options) tell(seed uint64, folder string, p *promises) []string {
 	counts, broken := p.report()
 	answers := make([]string, 0, len(counts))
-	for _, status := range slices.Sorted(keys(counts)) {
+	for _, status := range slices.Sorted(maps.Keys(counts)) {
 		answers = append(answers, fmt.Sprintf("%d: %d", status, counts[status]))
 	}
 	fmt.Printf("seed %d: %d promises broken; answers %s\n", seed, len(broken), strings.Join(answers, ", "))
@@ -182,16 +183,6 @@
 	return broken
 }
 
-func keys(counts map[int]int) func(yield func(int) bool) {
-	return func(yield func(int) bool) {
-		for status := range counts {
-			if !yield(status) {
-				return
-			}
-		}
-	}
-}
-
 // watch looks whether the whole fleet serves under the newest configuration.
 type watch struct {
 	fleet    *fleet
