node, membership, upstream: Remember departures beyond the process that confirmed them

Change: the departure stands in the node's record, which one other member has before the confirmation; of two records the later departure is kept; a node that starts serves only after first contact, for 1.5 s at most; a departure of a process that was not heard of binds its earlier heartbeats.

--- a/membership/member.go
+++ b/membership/member.go
@@ -98,6 +98,26 @@
 	// Revision is the number of the configuration that the node ran when its
 	// record last changed.
 	Revision uint64
+	// Departed is the process of the upstream that last said that it leaves. In
+	// others' memory it outlives the node's own process: of two records of a
+	// member, whichever is newer, the later departure is kept.
+	Departed Departure
+}
+
+// Departure names a process of an upstream that has said that it leaves; the
+// zero value names none.
+type Departure struct {
+	Process string
+	// Incarnation grows with each start of the upstream.
+	Incarnation uint64
+}
+
+// later returns the later one of two departures.
+func (d Departure) later(other Departure) Departure {
+	if cmp.Or(cmp.Compare(d.Incarnation, other.Incarnation), cmp.Compare(d.Process, other.Process)) >= 0 {
+		return d
+	}
+	return other
 }
 
 // Instance names the member's incarnation: a node that has restarted since is
--- a/membership/table.go
+++ b/membership/table.go
@@ -187,6 +187,8 @@
 	t.selfMu.Lock()
 	if m.ID == t.self.ID {
 		t.floor = max(t.floor, m.Revision)
+		// An earlier process of this node may have confirmed it.
+		t.self.Departed = t.self.Departed.later(m.Departed)
 	}
 	if m.ID != t.self.ID || !m.Supersedes(t.self) {
 		t.selfMu.Unlock()
@@ -204,9 +206,12 @@
 func (s *shard) put(now time.Time, m Member) bool {
 	old, found := s.members[m.ID]
 	if found && !m.Supersedes(old.member) {
-		return false
+		kept := old.member.Departed
+		old.member.Departed = kept.later(m.Departed)
+		return old.member.Departed != kept
 	}
 	if found {
+		m.Departed = m.Departed.later(old.member.Departed)
 		s.hash ^= old.member.Hash()
 	}
 	s.hash ^= m.Hash()
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -31,6 +31,9 @@
 			m := member(rapid.IntRange(0, 3).Draw(t, "id"), "a")
 			m.Incarnation = uint64(rapid.IntRange(1, 3).Draw(t, "incarnation"))
 			m.Sequence = uint64(rapid.IntRange(0, 3).Draw(t, "sequence"))
+			if born := rapid.IntRange(0, 3).Draw(t, "departed"); born > 0 {
+				m.Departed = Departure{Process: "u", Incarnation: uint64(born)}
+			}
 			switch rapid.IntRange(0, 2).Draw(t, "rank") {
 			case 1:
 				m.Suspected = true
@@ -50,7 +53,7 @@
 		assert.DeepEqual(t, one.Digests(_start.Add(time.Second)), other.Digests(_start.Add(time.Second)))
 		for _, m := range one.Zone("a") {
 			same, ok := other.Member("a", m.ID)
-			assert.Assert(t, ok && !same.Supersedes(m) && !m.Supersedes(same))
+			assert.Assert(t, ok && !same.Supersedes(m) && !m.Supersedes(same) && same.Departed == m.Departed)
 		}
 	})
 }
@@ -193,3 +196,27 @@
 	}
 	assert.Assert(t, messages <= 92*_spread*8/_maxUpdates+1, "%d messages", messages)
 }
+
+// The last departure of a member's upstream is kept whichever record comes
+// first, and a node learns its own from others.
+func TestDepartureOutlivesTheProcess(t *testing.T) {
+	before, after := member(1, "a"), member(1, "a")
+	before.Departed = Departure{Process: "u", Incarnation: 7}
+	after.Incarnation = 2
+	for _, words := range [][]Member{{before, after}, {after, before}} {
+		table := newTable(member(9, "a"), 1)
+		for _, w := range words {
+			table.Merge(_start, w)
+		}
+		known, _ := table.Member("a", before.ID)
+		assert.Equal(t, known.Incarnation, uint64(2))
+		assert.Equal(t, known.Departed, before.Departed)
+	}
+	restarted := newTable(after, 1)
+	restarted.Merge(_start, before)
+	assert.Equal(t, restarted.Self().Departed, before.Departed)
+	// An earlier departure changes nothing.
+	before.Departed.Incarnation = 6
+	restarted.Merge(_start, before)
+	assert.Equal(t, restarted.Self().Departed.Incarnation, uint64(7))
+}
--- a/node/announced.go
+++ b/node/announced.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"time"
 
 	"lentilferry.example/lentilferry/admission"
@@ -19,6 +20,9 @@
 			"version", a.Version, "slots", a.Slots, "leaving", a.Leaving, "coldFor", a.ColdFor)
 	}
 	n.settleUpstream(now)
+	if a.Leaving {
+		n.entrust()
+	}
 	return result
 }
 
@@ -27,17 +31,70 @@
 	result := n.announced.Depart(id)
 	n.d.Logger.Info("Upstream departs", "process", id, "result", result.String())
 	n.settleUpstream(now)
+	n.entrust()
 	return result
 }
 
+const (
+	// _entrustTo is how many members are asked to remember a departure, and
+	// _entrustTimeout how long its confirmation waits for one of them: within
+	// the second that an upstream waits.
+	_entrustTo      = 3
+	_entrustTimeout = 200 * time.Millisecond
+)
+
+// entrust makes another member remember this node's record before a departure
+// is confirmed: the confirmation binds also after a restart, and nothing on the
+// VM lasts that long. It gives up after a moment.
+func (n *Node) entrust() {
+	self := n.table.Self()
+	members := n.table.Audience(membership.ScopeZone)
+	if len(members) == 0 {
+		members = n.table.Audience(membership.ScopeAll)
+	}
+	if self.Departed.Process == "" || n.entrusted.Load() == self.Sequence || len(members) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), _entrustTimeout)
+	defer cancel()
+	told := make(chan error, _entrustTo)
+	members = members[:min(_entrustTo, len(members))]
+	for _, m := range members {
+		go func() { told <- n.gossip.Tell(ctx, m, []membership.Member{self}) }()
+	}
+	var err error
+	for range members {
+		if err = <-told; err == nil {
+			n.entrusted.Store(self.Sequence)
+			return
+		}
+	}
+	n.d.Logger.Info("Departure known to this node only", "departed", self.Departed.Process, "cause", err.Error())
+}
+
+// mayBeKnown reports whether the node may still hear from others what an
+// earlier process of it confirmed.
+func (n *Node) mayBeKnown() bool {
+	return !n.joined.Load() && n.isFresh()
+}
+
 // settleUpstream brings the gate and this node's record in line with what is
 // known of the upstream.
 func (n *Node) settleUpstream(now time.Time) {
 	n.settling.Lock()
 	defer n.settling.Unlock()
+	if d := n.table.Self().Departed; d.Process != "" {
+		n.announced.Recall(upstream.Life{ID: upstream.ID(d.Process), Incarnation: d.Incarnation})
+	}
 	known, state := n.announced.Current(now)
 	n.recorder.SetVersion(known.Version)
 	reason, allowed := n.mayServe(known.Version)
+	if n.mayBeKnown() {
+		reason, allowed = "no other node was heard yet", false
+		state = upstream.Absent
+	}
+	last := n.announced.LastLeft()
+	left := membership.Departure{Process: string(last.ID), Incarnation: last.Incarnation}
 	if allowed && (state == upstream.Cold || state == upstream.Ready) {
 		n.gate.Resize(admission.ExactLimits(known.Slots))
 		n.gate.Resume()
@@ -50,6 +107,7 @@
 	}
 	if n.lifecycle.State() != membership.Starting {
 		// The node itself leaves, which its record says already.
+		n.table.Announce(now, func(m *membership.Member) { m.Departed = left })
 		return
 	}
 	var to membership.State
@@ -64,7 +122,7 @@
 		to = membership.Draining
 	}
 	before := n.table.Self()
-	if before.State == to && before.Version == known.Version && before.Slots == known.Slots {
+	if before.State == to && before.Version == known.Version && before.Slots == known.Slots && before.Departed == left {
 		return
 	}
 	n.d.Logger.Info("Upstream state changed", "process", known.ID, "from", before.State.String(), "to", to.String(), "upstream", state.String())
@@ -72,6 +130,7 @@
 		m.State = to
 		m.Version = known.Version
 		m.Slots = known.Slots
+		m.Departed = left
 	})
 	if after := n.table.Self(); changesChoice(before, after) {
 		n.herald.Add(membership.ScopeAll, after)
--- a/node/hosted_integration_test.go
+++ b/node/hosted_integration_test.go
@@ -59,8 +59,11 @@
 	fromStore func(remote string) bool
 	// done is closed when the node has ended.
 	done chan struct{}
-	seq  uint64
-	say  func(leaving bool) upstream.Result
+	// id, born and seq are what the upstream says of itself.
+	id        upstream.ID
+	born, seq uint64
+	cancel    context.CancelFunc
+	say       func(leaving bool) upstream.Result
 }
 
 func newHosted(t *testing.T, versions ...config.VersionName) *hosted {
@@ -87,7 +90,7 @@
 
 func (h *hosted) start(id string, zone membership.Zone, version config.VersionName) *hostedNode {
 	h.t.Helper()
-	n := &hostedNode{runs: make(map[string]int)}
+	n := &hostedNode{runs: make(map[string]int), id: upstream.ID("i-" + id), born: 1}
 	server := httptest.NewServer(http.HandlerFunc(n.serveUpstream))
 	h.t.Cleanup(server.Close)
 	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
@@ -124,10 +127,11 @@
 	n.say = func(leaving bool) upstream.Result {
 		n.seq++
 		return n.Hear(time.Now(), upstream.Announcement{
-			ID: upstream.ID("i-" + id), Service: "desk", Version: version, Address: address, Slots: 8, Sequence: n.seq, Incarnation: 1, Leaving: leaving,
+			ID: n.id, Service: "desk", Version: version, Address: address, Slots: 8, Sequence: n.seq, Incarnation: n.born, Leaving: leaving,
 		})
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
 	done := make(chan struct{})
 	n.done = done
 	go func() {
@@ -216,6 +220,20 @@
 	}
 }
 
+// rostered returns how many nodes of zone z the store names as first contacts.
+func (h *hosted) rostered() int {
+	object, _ := h.store.Get("lentilferry-roster", "z")
+	var spec struct {
+		Value []byte `json:"value"`
+	}
+	if json.Unmarshal(object.Spec, &spec) != nil {
+		return 0
+	}
+	peers, err := wire.DecodeRoster(spec.Value)
+	assert.NilError(h.t, err)
+	return len(peers)
+}
+
 // The whole path: nodes find each other, take the operator's configuration and
 // what upstreams announce, and serve; a change is in force on all of them; one
 // whose leaving was confirmed gets nothing more; no call runs twice.
@@ -372,15 +390,50 @@
 func TestHostedRestartedOwnerKeepsLeaving(t *testing.T) {
 	h := newHosted(t, "v1", "v1")
 	h.until("both serve", h.serving(2))
+	h.until("both can be found", func() bool { return h.rostered() == 2 })
 	first := h.nodes[0]
 	assert.Equal(t, first.Depart(time.Now(), "i-n0"), upstream.Accepted)
-	first.Stop()
+	// The process ends at the moment of the confirmation.
+	first.cancel()
 	<-first.done
 	// The first announcement of a node started here stands for the late one.
 	restarted := h.start("n0", "z", "v1")
-	for range 200 {
+	for began := time.Now(); time.Since(began) < 2500*time.Millisecond; {
 		h.call(h.nodes[1], "/batches/1")
 		h.call(restarted, "/batches/1")
 	}
 	assert.Equal(t, restarted.ran(), 0)
+	// The next process of the upstream takes work at once.
+	restarted.born++
+	assert.Equal(t, restarted.say(false), upstream.Accepted)
+	h.until("its next process serves", func() bool { return restarted.ran() > 0 })
+}
+
+// A departure that a node hears of before anything else of that process binds
+// too.
+func TestHostedDepartureOfAnUnknownProcess(t *testing.T) {
+	h := newHosted(t, "v1")
+	h.until("it serves", h.serving(1))
+	n := h.nodes[0]
+	assert.Equal(t, n.Depart(time.Now(), "i-other"), upstream.Stale)
+	n.id, n.seq, n.born = "i-other", 7, 2
+	assert.Equal(t, n.say(false), upstream.Accepted)
+	ran := n.ran()
+	for range 50 {
+		h.call(n, "/batches/1")
+	}
+	assert.Equal(t, n.ran(), ran)
+	n.seq, n.born = 0, 3
+	assert.Equal(t, n.say(false), upstream.Accepted)
+	h.until("the next process of that name serves", func() bool { return n.ran() > ran })
+}
+
+// A node that has the configuration and hears its upstream, but no other node
+// yet, lets no call through for a moment: others may remember a departure.
+func TestHostedNodeWaitsToHearOfItself(t *testing.T) {
+	began := time.Now()
+	h := newHosted(t, "v1")
+	h.until("it serves", func() bool { return h.nodes[0].ran() > 0 })
+	assert.Assert(t, time.Since(began) >= time.Second, "served after %s", time.Since(began))
+	assert.Assert(t, time.Since(began) < 3*time.Second, "served after %s", time.Since(began))
 }
--- a/node/node.go
+++ b/node/node.go
@@ -224,8 +224,13 @@
 	herald  *membership.Herald
 	drained chan struct{}
 	stop    sync.Once
-	// started is when the node was built.
+	// started is when the node was built, and joined is set once it has made
+	// first contact.
 	started time.Time
+	joined  atomic.Bool
+	// entrusted is the sequence number of the own record that another member
+	// was last told before a departure was confirmed.
+	entrusted atomic.Uint64
 }
 
 const (
--- a/node/relay.go
+++ b/node/relay.go
@@ -244,6 +244,10 @@
 		own, others := n.listRosters(ctx, n.isFresh())
 		// Whoever answers tells all members that it knows.
 		if n.contactAny(ctx, append(slices.Clone(n.d.Seeds), own...)) || n.contactAny(ctx, others) {
+			n.joined.Store(true)
+			if n.announced != nil {
+				n.settleUpstream(n.d.Now())
+			}
 			return
 		}
 		wait(ctx, pause.NextBackOff())
--- a/peer/client_test.go
+++ b/peer/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -16,6 +17,10 @@
 
 	lentilferryv1 "lentilferry.example/lentilferry/gen/lentilferry/v1"
 	"lentilferry.example/lentilferry/gen/lentilferry/v1/lentilferryv1connect"
+	"lentilferry.example/lentilferry/membership"
+	"lentilferry.example/lentilferry/move"
+	"lentilferry.example/lentilferry/quarantine"
+	"lentilferry.example/lentilferry/revision"
 )
 
 // answering is a peer that answers each exchange with a long message and
@@ -23,6 +28,8 @@
 type answering struct {
 	lentilferryv1connect.UnimplementedPeerServiceHandler
 	open atomic.Int64
+	// withDigests counts the requests that say what their sender knows.
+	withDigests atomic.Int64
 	// compressed counts the requests that offered or used compression.
 	compressed atomic.Int64
 }
@@ -31,6 +38,9 @@
 	if r.Header().Get("Accept-Encoding") != "identity" || r.Header().Get("Content-Encoding") != "" {
 		a.compressed.Add(1)
 	}
+	if len(r.Msg.GetDigests()) > 0 {
+		a.withDigests.Add(1)
+	}
 	return connect.NewResponse(&lentilferryv1.ExchangeResponse{From: string(make([]byte, 8<<10))}), nil
 }
 
@@ -82,3 +92,29 @@
 		return poll.Success()
 	}, poll.WithTimeout(10*time.Second), poll.WithDelay(100*time.Millisecond))
 }
+
+// First contact asks for all that the peer knows, whatever the node knows.
+func TestFirstContactAsksForAll(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	self := membership.Member{ID: "n", Incarnation: 1, State: membership.Serving, Region: "r", Zone: "z", Peer: netip.MustParseAddrPort("127.0.0.1:1")}
+	table := membership.New(membership.DefaultTiming(), self, rand.New(rand.NewPCG(1, 1)), now)
+	table.Tick(now)
+	transport := NewTransport()
+	defer transport.CloseIdleConnections()
+	peer, address := startAnswering(t)
+	gossip := NewGossip(GossipDependencies{
+		Table: table, Holder: revision.NewHolder(), Quarantines: quarantine.New(), Orders: noOrders{},
+		Clients: NewClients(transport), Now: func() time.Time { return now },
+	})
+	assert.NilError(t, gossip.Exchange(t.Context(), "", address))
+	assert.Equal(t, peer.withDigests.Load(), int64(0))
+	// The peer's answer is not from the member that was asked for.
+	assert.ErrorContains(t, gossip.Exchange(t.Context(), "other", address), "in place of")
+	assert.Equal(t, peer.withDigests.Load(), int64(1))
+}
+
+type noOrders struct{}
+
+func (noOrders) Orders(time.Time) []move.Order { return nil }
+
+func (noOrders) HearOrder(move.Order) bool { return false }
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -119,7 +119,11 @@
 func (g *Gossip) Exchange(ctx context.Context, id membership.NodeID, peer netip.AddrPort) error {
 	request := g.request(id)
 	request.Updates = wire.EncodeMembers(g.d.Table.Updates())
-	request.Digests = wire.EncodeDigests(g.d.Table.Digests(g.d.Now()))
+	if id != "" {
+		// Without digests the peer answers with all that it knows, which a node
+		// that makes first contact needs: also what an earlier process of it said.
+		request.Digests = wire.EncodeDigests(g.d.Table.Digests(g.d.Now()))
+	}
 	return g.send(ctx, id, peer, request)
 }
 
--- a/upstream/registry.go
+++ b/upstream/registry.go
@@ -98,10 +98,10 @@
 	_leftMost = 256
 )
 
-// life names one incarnation of an upstream.
-type life struct {
-	id          ID
-	incarnation uint64
+// Life names one incarnation of an upstream.
+type Life struct {
+	ID          ID
+	Incarnation uint64
 }
 
 // Registry holds what is known of the upstream on a node's VM. It is safe for
@@ -115,7 +115,12 @@
 	current Announcement
 	// left holds the incarnations that have said that they leave. They never
 	// take work again.
-	left map[life]bool
+	left map[Life]bool
+	// unheard holds the IDs that departed without an announcement before, as
+	// when the node has just started.
+	unheard map[ID]bool
+	// lastLeft is the newest of left.
+	lastLeft Life
 	// coldUntil is when the current upstream is no longer slow.
 	coldUntil time.Time
 	// heard is when the current upstream last announced itself or answered.
@@ -126,7 +131,7 @@
 
 // New returns a registry for the upstream of the given service and address.
 func New(service config.ServiceName, address netip.AddrPort) *Registry {
-	return &Registry{service: service, address: address, left: make(map[life]bool)}
+	return &Registry{service: service, address: address, left: make(map[Life]bool), unheard: make(map[ID]bool)}
 }
 
 // Hear takes in an announcement.
@@ -137,7 +142,12 @@
 		return Foreign
 	}
 	if a.Leaving {
-		r.leave(life{id: a.ID, incarnation: a.Incarnation})
+		r.leave(Life{ID: a.ID, Incarnation: a.Incarnation})
+	}
+	if r.unheard[a.ID] && a.Sequence > 1 {
+		// It was sent before the departure; a process that has started again
+		// begins at 1.
+		r.leave(Life{ID: a.ID, Incarnation: a.Incarnation})
 	}
 	if r.stale(a) {
 		return Stale
@@ -166,17 +176,39 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if id != r.current.ID {
+		if len(r.unheard) < _leftMost {
+			r.unheard[id] = true
+		}
 		return Stale
 	}
-	r.leave(life{id: id, incarnation: r.current.Incarnation})
+	r.leave(Life{ID: id, Incarnation: r.current.Incarnation})
 	return Accepted
 }
 
-func (r *Registry) leave(l life) {
+// Recall takes in that an upstream's life has said that it leaves, as an
+// earlier process of the node has confirmed it.
+func (r *Registry) Recall(l Life) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leave(l)
+}
+
+// LastLeft returns the life that last said that it leaves; the zero value for
+// none.
+func (r *Registry) LastLeft() Life {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lastLeft
+}
+
+func (r *Registry) leave(l Life) {
 	if len(r.left) >= _leftMost {
 		clear(r.left)
 	}
 	r.left[l] = true
+	if l.Incarnation >= r.lastLeft.Incarnation {
+		r.lastLeft = l
+	}
 }
 
 // Answered takes in that the upstream of the given ID answered a call.
@@ -204,7 +236,7 @@
 	switch {
 	case r.current.ID == "":
 		return r.current, Absent
-	case r.left[life{id: r.current.ID, incarnation: r.current.Incarnation}]:
+	case r.left[Life{ID: r.current.ID, Incarnation: r.current.Incarnation}]:
 		return r.current, Leaving
 	case r.lost || now.Sub(r.heard) >= _silentAfter:
 		return r.current, Absent
--- a/upstream/registry_test.go
+++ b/upstream/registry_test.go
@@ -95,3 +95,26 @@
 	r.Hear(_start, announcement(func(a *Announcement) { a.Sequence = 2 }))
 	assert.Equal(t, stateAt(r, _start), Ready)
 }
+
+// What an earlier process of the node has confirmed binds the next one, which
+// was told of it, for that incarnation only.
+func TestRecalledDepartureBinds(t *testing.T) {
+	r := New("desk", _address)
+	r.Recall(Life{ID: "u1", Incarnation: 100})
+	assert.Equal(t, r.Hear(_start, announcement(nil)), Accepted)
+	assert.Equal(t, stateAt(r, _start), Leaving)
+	assert.Equal(t, r.LastLeft(), Life{ID: "u1", Incarnation: 100})
+	assert.Equal(t, r.Hear(_start, announcement(func(a *Announcement) { a.Incarnation = 200 })), Accepted)
+	assert.Equal(t, stateAt(r, _start), Ready)
+}
+
+// A departure of a process that was not heard of binds what it sent before; a
+// process of that name that starts later is another one.
+func TestDepartureOfAnUnknownProcessBinds(t *testing.T) {
+	r := New("desk", _address)
+	assert.Equal(t, r.Depart("u1"), Stale)
+	r.Hear(_start, announcement(func(a *Announcement) { a.Sequence = 5 }))
+	assert.Equal(t, stateAt(r, _start), Leaving)
+	r.Hear(_start, announcement(func(a *Announcement) { a.Incarnation = 200 }))
+	assert.Equal(t, stateAt(r, _start), Ready)
+}
--- a/wire/member.go
+++ b/wire/member.go
@@ -28,6 +28,9 @@
 		Version:     string(m.Version),
 		Slots:       uint32(m.Slots),
 		Revision:    m.Revision,
+		Departed:    m.Departed.Process,
+
+		DepartedIncarnation: m.Departed.Incarnation,
 	}
 }
 
@@ -54,6 +57,7 @@
 		Version:     config.VersionName(message.GetVersion()),
 		Slots:       int(message.GetSlots()),
 		Revision:    message.GetRevision(),
+		Departed:    membership.Departure{Process: message.GetDeparted(), Incarnation: message.GetDepartedIncarnation()},
 	}, nil
 }
 
