routing: Share what was learned about an upstream between its records

Cause: Pool.Update copied the load of an endpoint and published the copy later; a load recorded in between on the old one was lost, and so were in-flight counts, failures and ejections at each change of a record. Change: endpoints of the same incarnation and version share one history by pointer. TestConcurrentUpdateKeepsReportedLoad numbers its reports and looks for the last one. TestUpdateKeepsFailures fails without the change.

--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -64,7 +64,13 @@
 	Instance string
 	// penalty is the cost of reaching the upstream's zone.
 	penalty time.Duration
+	*history
+}
 
+// history is what one sender has learned about an upstream. The endpoints made
+// from successive records of the same upstream share it, so that nothing which
+// is recorded while the records change is lost.
+type history struct {
 	// inFlight is the number of this sender's calls that have not ended.
 	inFlight atomic.Int64
 	// startedSinceReport is the number of calls this sender started since the
@@ -87,16 +93,16 @@
 }
 
 // lastReport returns the last reported load and when it was reported.
-func (e *Endpoint) lastReport() (Load, time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.load, e.reportedAt
+func (h *history) lastReport() (Load, time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.load, h.reportedAt
 }
 
 // LoadSummary returns the last reported load and its age as text for logs, or
 // "none".
-func (e *Endpoint) LoadSummary(now time.Time) string {
-	load, reportedAt := e.lastReport()
+func (h *history) LoadSummary(now time.Time) string {
+	load, reportedAt := h.lastReport()
 	if reportedAt.IsZero() {
 		return "none"
 	}
@@ -104,71 +110,71 @@
 }
 
 // Begin counts a call to the upstream as in-flight. It must be followed by End.
-func (e *Endpoint) Begin() {
-	e.inFlight.Add(1)
-	e.startedSinceReport.Add(1)
+func (h *history) Begin() {
+	h.inFlight.Add(1)
+	h.startedSinceReport.Add(1)
 }
 
 // End ends the count of a call as in-flight.
-func (e *Endpoint) End() {
-	e.inFlight.Add(-1)
+func (h *history) End() {
+	h.inFlight.Add(-1)
 }
 
 // RecordLoad stores the load reported by the upstream's owner.
-func (e *Endpoint) RecordLoad(now time.Time, load Load) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+func (h *history) RecordLoad(now time.Time, load Load) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	if load.AverageDuration == 0 {
-		load.AverageDuration = e.load.AverageDuration
+		load.AverageDuration = h.load.AverageDuration
 	}
-	e.load = load
-	e.reportedAt = now
-	e.startedSinceReport.Store(0)
+	h.load = load
+	h.reportedAt = now
+	h.startedSinceReport.Store(0)
 }
 
 // RecordSuccess resets the counts of consecutive failures and ejections, and
 // lowers the failure rate.
-func (e *Endpoint) RecordSuccess() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.consecutiveFailures = 0
-	e.consecutiveEjections = 0
-	e.failureRate *= 1 - _failureSmoothing
+func (h *history) RecordSuccess() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.consecutiveFailures = 0
+	h.consecutiveEjections = 0
+	h.failureRate *= 1 - _failureSmoothing
 }
 
 // RecordFailure counts a failed call; _ejectAfterFailures in a row eject the
 // upstream for a while.
-func (e *Endpoint) RecordFailure(now time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.failureRate += _failureSmoothing * (1 - e.failureRate)
-	e.lastFailureAt = now
-	e.consecutiveFailures++
-	if e.consecutiveFailures < _ejectAfterFailures {
+func (h *history) RecordFailure(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.failureRate += _failureSmoothing * (1 - h.failureRate)
+	h.lastFailureAt = now
+	h.consecutiveFailures++
+	if h.consecutiveFailures < _ejectAfterFailures {
 		return
 	}
-	e.consecutiveFailures = 0
-	e.eject(now, _baseEjection, _maxEjection)
+	h.consecutiveFailures = 0
+	h.eject(now, _baseEjection, _maxEjection)
 }
 
 // RecordConnectFailure ejects an upstream whose node accepted no connection.
-func (e *Endpoint) RecordConnectFailure(now time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.eject(now, _baseUnreachableEjection, _maxUnreachableEjection)
+func (h *history) RecordConnectFailure(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.eject(now, _baseUnreachableEjection, _maxUnreachableEjection)
 }
 
 // eject excludes the upstream for the duration base, doubled with each ejection
-// in a row up to limit. The caller holds e.mu.
-func (e *Endpoint) eject(now time.Time, base, limit time.Duration) {
-	e.ejectedUntil = now.Add(min(limit, base<<min(e.consecutiveEjections, 8)))
-	e.consecutiveEjections++
+// in a row up to limit. The caller holds h.mu.
+func (h *history) eject(now time.Time, base, limit time.Duration) {
+	h.ejectedUntil = now.Add(min(limit, base<<min(h.consecutiveEjections, 8)))
+	h.consecutiveEjections++
 }
 
-func (e *Endpoint) ejected(now time.Time) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return now.Before(e.ejectedUntil)
+func (h *history) ejected(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return now.Before(h.ejectedUntil)
 }
 
 // cost estimates the cost of a call sent now, as a time: by how much the
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -80,18 +80,18 @@
 }
 
 // endpointFor returns the known endpoint of a member, or a new one if the
-// member changed in a way that affects the choice. The last load report is kept
-// as long as the upstream is the same incarnation and version.
+// member changed in a way that affects the choice. The history is kept as long
+// as the upstream is the same incarnation and version.
 func (p *Pool) endpointFor(m membership.Member) *Endpoint {
 	known, ok := p.endpoints[m.ID]
 	if ok && sameUpstream(known.Member, m) {
 		return known
 	}
-	e := &Endpoint{Member: m, Address: m.PeerAddress.String(), Instance: m.Instance(), penalty: p.penalty(m)}
+	learned := &history{}
 	if ok && known.Member.Incarnation == m.Incarnation && known.Member.Version == m.Version {
-		e.load, e.reportedAt = known.lastReport()
+		learned = known.history
 	}
-	return e
+	return &Endpoint{Member: m, Address: m.PeerAddress.String(), Instance: m.Instance(), penalty: p.penalty(m), history: learned}
 }
 
 // penalty returns the cost of reaching a member's zone.
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -247,7 +247,7 @@
 }
 
 // A load reported while members change is not lost, and recording it does not
-// race with the update.
+// race with the update. The reports are numbered: the last one must be found.
 func TestConcurrentUpdateKeepsReportedLoad(t *testing.T) {
 	p := NewPool("a", "r1")
 	serving, suspected := newMember(0, "a", "r1"), newMember(0, "a", "r1")
@@ -255,6 +255,7 @@
 	p.Update([]membership.Member{serving})
 	var recorder sync.WaitGroup
 	stop := make(chan struct{})
+	reports := 0
 	recorder.Go(func() {
 		for {
 			select {
@@ -263,7 +264,8 @@
 			default:
 			}
 			if e, ok := p.Choose(_start, _query); ok {
-				e.RecordLoad(_start, Load{Calls: 1, Slots: 2, AverageDuration: time.Second})
+				reports++
+				e.RecordLoad(_start, Load{Calls: reports, Slots: 2, AverageDuration: time.Second})
 				e.RecordFailure(_start)
 				_ = e.LoadSummary(_start)
 			}
@@ -276,8 +278,26 @@
 	recorder.Wait()
 	e, ok := p.Choose(_start, _query)
 	assert.Assert(t, ok)
+	assert.Assert(t, reports > 0)
 	load, _ := e.lastReport()
-	assert.Equal(t, load.AverageDuration, time.Second)
+	assert.Equal(t, load, Load{Calls: reports, Slots: 2, AverageDuration: time.Second})
+}
+
+// Failures count on while the record of the upstream changes: an ejection must
+// not end because the upstream became warm.
+func TestUpdateKeepsFailures(t *testing.T) {
+	p := NewPool("a", "r1")
+	warming := newMember(0, "a", "r1")
+	warming.State = membership.Warming
+	other := newMember(1, "a", "r1")
+	p.Update([]membership.Member{warming, other})
+	p.endpoints[warming.ID].RecordConnectFailure(_start)
+	p.Update([]membership.Member{newMember(0, "a", "r1"), other})
+	for range 20 {
+		e, ok := p.Choose(_start, _query)
+		assert.Assert(t, ok)
+		assert.Equal(t, e.Member.ID, other.ID)
+	}
 }
 
 func BenchmarkChoose(b *testing.B) {
