membership, node: Keep a departure that arrives while the record is written

Cause: syncUpstreamState read the node's record, and first contact could deliver the departure that an earlier process of the node had confirmed before UpdateSelf wrote the older one back. Nothing sent it again. The same function also read the departure before it asked whether first contact was made, so that one arriving in between was missed for one pass. Change: UpdateSelf never replaces a departure by an earlier one; syncUpstreamState asks for first contact before it reads the record. TestUpdateSelfKeepsLaterDeparture fails without the first part.

--- a/membership/table.go
+++ b/membership/table.go
@@ -134,11 +134,14 @@
 }
 
 // UpdateSelf changes this node's own record and queues it for other members.
-// Without an actual change it does nothing.
+// Without an actual change it does nothing. The change can't replace the last
+// departure by an earlier one: another node may have sent a later one since the
+// caller read the record.
 func (t *Table) UpdateSelf(now time.Time, change func(*Member)) {
 	t.selfMu.Lock()
 	before := t.self
 	change(&t.self)
+	t.self.LastDeparture = t.self.LastDeparture.later(before.LastDeparture)
 	if t.self == before {
 		t.selfMu.Unlock()
 		return
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -233,3 +233,21 @@
 	restarted.Merge(_start, before)
 	assert.Equal(t, restarted.Self().LastDeparture.Incarnation, uint64(7))
 }
+
+// A node reads its record, first contact then delivers the departure that an
+// earlier process of the node confirmed, and the node writes what it has read:
+// the departure stays.
+func TestUpdateSelfKeepsLaterDeparture(t *testing.T) {
+	table := newTable(member(1, "a"), 1)
+	departed := Departure{Process: "u", Incarnation: 7}
+	read := table.Self().LastDeparture
+	sent := table.Self()
+	sent.LastDeparture = departed
+	table.Merge(_start, sent)
+	table.UpdateSelf(_start, func(m *Member) {
+		m.State = Draining
+		m.LastDeparture = read
+	})
+	assert.Equal(t, table.Self().State, Draining)
+	assert.Equal(t, table.Self().LastDeparture, departed)
+}
--- a/node/announced.go
+++ b/node/announced.go
@@ -85,13 +85,16 @@
 func (n *Node) syncUpstreamState(now time.Time) {
 	n.upstreamMu.Lock()
 	defer n.upstreamMu.Unlock()
+	// Checked before the departure is read, which first contact may deliver at
+	// any time.
+	mayLearnDeparture := n.mayLearnDeparture()
 	if d := n.members.Self().LastDeparture; d.Process != "" {
 		n.upstreamRegistry.RestoreDeparture(upstream.Instance{ID: upstream.ID(d.Process), Incarnation: d.Incarnation})
 	}
 	current, state := n.upstreamRegistry.Current(now)
 	n.recorder.SetVersion(current.Version)
 	reason, allowed := n.mayServe(current.Version)
-	if n.mayLearnDeparture() {
+	if mayLearnDeparture {
 		reason, allowed = "no other node was heard yet", false
 		state = upstream.Absent
 	}
