admission: Order waiting calls by rank and expected duration

Change: a call that takes half as long counts as one rank more urgent (the cµ rule); levels are rounded, so that rank decides between like calls. The expected wait counts the demand of lower levels.

--- a/admission/demand.go
+++ b/admission/demand.go
@@ -9,36 +9,36 @@
 // 1/e.
 const _demandTimeConstant = time.Second
 
-// demand estimates how many slots the calls of each rank keep busy, as an
+// demand estimates how many slots the calls of each level keep busy, as an
 // exponentially decaying sum of their expected durations.
 type demand struct {
-	// secondsByRank holds the expected seconds of work by rank, decayed by age.
-	secondsByRank map[uint32]float64
-	// updatedAt is when secondsByRank was last decayed.
+	// secondsByLevel holds the expected seconds of work by level, decayed by age.
+	secondsByLevel map[int]float64
+	// updatedAt is when secondsByLevel was last decayed.
 	updatedAt time.Time
 }
 
-// _maxRanks bounds the tracked ranks; calls of further ranks are not counted.
-const _maxRanks = 32
+// _maxLevels bounds the tracked levels; calls of further levels are not counted.
+const _maxLevels = 64
 
 func newDemand() demand {
-	return demand{secondsByRank: make(map[uint32]float64)}
+	return demand{secondsByLevel: make(map[int]float64)}
 }
 
 // add counts a call that is expected to run for the given duration.
-func (d *demand) add(now time.Time, rank uint32, duration time.Duration) {
+func (d *demand) add(now time.Time, level int, duration time.Duration) {
 	d.decay(now)
-	if _, known := d.secondsByRank[rank]; known || len(d.secondsByRank) < _maxRanks {
-		d.secondsByRank[rank] += duration.Seconds()
+	if _, known := d.secondsByLevel[level]; known || len(d.secondsByLevel) < _maxLevels {
+		d.secondsByLevel[level] += duration.Seconds()
 	}
 }
 
-// slotsAbove returns how many slots the calls more urgent than rank keep busy.
-func (d *demand) slotsAbove(now time.Time, rank uint32) float64 {
+// slotsBelow returns how many slots the calls below a level keep busy.
+func (d *demand) slotsBelow(now time.Time, level int) float64 {
 	d.decay(now)
 	var sum float64
-	for r, seconds := range d.secondsByRank {
-		if r < rank {
+	for l, seconds := range d.secondsByLevel {
+		if l < level {
 			sum += seconds
 		}
 	}
@@ -49,8 +49,8 @@
 func (d *demand) decay(now time.Time) {
 	if elapsed := now.Sub(d.updatedAt); elapsed > 0 && !d.updatedAt.IsZero() {
 		factor := math.Exp(-float64(elapsed) / float64(_demandTimeConstant))
-		for rank := range d.secondsByRank {
-			d.secondsByRank[rank] *= factor
+		for level := range d.secondsByLevel {
+			d.secondsByLevel[level] *= factor
 		}
 	}
 	d.updatedAt = now
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -109,7 +109,7 @@
 	// of durations.
 	_durationSmoothing = 0.1
 	// _maxConsecutiveUrgent is how many calls in a row overtake a waiting call
-	// of a less urgent rank, so that none starves.
+	// of a higher level, so that none starves.
 	_maxConsecutiveUrgent = 4
 	// _enqueueDurationFactor times a call's expected duration must remain
 	// before its deadline when it would start, or it is not queued: a run that
@@ -118,8 +118,8 @@
 	// _runDurationFactor times its expected duration must remain for a waiting
 	// call to be worth running, as the durations of a route's calls vary.
 	_runDurationFactor = 1
-	// _minCapacityShare is the share of the slots assumed to remain for a rank,
-	// however much more urgent work arrives.
+	// _minCapacityShare is the share of the slots assumed to remain for a level,
+	// however much work of lower levels arrives.
 	_minCapacityShare = 0.1
 	// _maxRoutes bounds the routes whose durations are tracked.
 	_maxRoutes = 1_000
@@ -139,7 +139,7 @@
 	// waiting holds the waiting calls in the order of Ticket.compare.
 	waiting []*Ticket
 	// consecutiveUrgent counts the calls that were dequeued in a row while a
-	// call of a less urgent rank waited.
+	// call of a higher level waited.
 	consecutiveUrgent int
 	// averageDuration is the moving average of how long calls run; 0 before the
 	// first call.
@@ -150,7 +150,7 @@
 	limitDecreasedAt time.Time
 	// ticketCount is the number of tickets issued.
 	ticketCount uint64
-	// demand is the recent demand by rank.
+	// demand is the recent demand by level.
 	demand demand
 }
 
@@ -166,9 +166,10 @@
 	defer g.mu.Unlock()
 	t := &Ticket{request: request, arrivedAt: now, expectedDuration: g.expectDuration(request.Route), decided: make(chan struct{})}
 	t.late = now.Add(t.expectedDuration).After(request.UsefulUntil)
+	t.level = levelOf(request.Rank, t.expectedDuration)
 	g.ticketCount++
 	t.sequence = g.ticketCount
-	g.demand.add(now, request.Rank, t.expectedDuration)
+	g.demand.add(now, t.level, t.expectedDuration)
 	switch {
 	case g.draining:
 		t.refuse(ReasonDraining)
@@ -253,9 +254,9 @@
 // estimateContendedWait is like estimateWait, and allows for the calls still to
 // arrive that will overtake this one.
 func (g *Gate) estimateContendedWait(now time.Time, position int, t *Ticket) time.Duration {
-	busy := g.demand.slotsAbove(now, t.request.Rank)
+	busy := g.demand.slotsBelow(now, t.level)
 	if t.late {
-		busy = g.demand.slotsAbove(now, t.request.Rank+1)
+		busy = g.demand.slotsBelow(now, t.level+1)
 	}
 	capacityShare := max(_minCapacityShare, 1-busy/g.concurrencyLimit)
 	return time.Duration(float64(g.estimateWait(position)) / capacityShare)
@@ -352,12 +353,12 @@
 	}
 }
 
-// dequeue removes and returns the next call to run. Urgent ranks go first, but
-// after _maxConsecutiveUrgent of their calls one of a less urgent rank does.
+// dequeue removes and returns the next call to run. The lowest level goes first,
+// but after _maxConsecutiveUrgent of its calls one of a higher level does.
 func (g *Gate) dequeue() *Ticket {
 	position := 0
-	rank := g.waiting[0].request.Rank
-	lessUrgent := slices.IndexFunc(g.waiting, func(t *Ticket) bool { return t.request.Rank > rank })
+	level := g.waiting[0].level
+	lessUrgent := slices.IndexFunc(g.waiting, func(t *Ticket) bool { return t.level > level })
 	switch {
 	case lessUrgent < 0:
 		g.consecutiveUrgent = 0
--- a/admission/ticket.go
+++ b/admission/ticket.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"time"
 )
 
@@ -12,6 +13,9 @@
 	startedAt time.Time
 	// expectedDuration is how long the call was expected to run on arrival.
 	expectedDuration time.Duration
+	// level orders calls by how much a slot gains by running them first; the
+	// lowest goes first. See levelOf.
+	level int
 	// callerBacklog is how many calls of the same caller waited on arrival.
 	callerBacklog int
 	// sequence numbers the tickets of a gate in the order of their arrival.
@@ -52,7 +56,20 @@
 	close(t.decided)
 }
 
-// compare orders waiting calls: by rank, then those that are not late, then by
+// levelOf returns the level of a call: its rank plus the binary logarithm of
+// its expected duration in milliseconds, rounded. A call that takes half as long
+// counts as one rank more urgent, so that under load a slot completes the
+// greatest weight of calls for its time (the cµ rule), and the short calls that
+// running calls wait for are not refused behind long ones. Rounding keeps calls
+// of one route in one level.
+func levelOf(rank uint32, expectedDuration time.Duration) int {
+	if expectedDuration < time.Millisecond {
+		return int(rank)
+	}
+	return int(rank) + int(math.Round(math.Log2(float64(expectedDuration)/float64(time.Millisecond))))
+}
+
+// compare orders waiting calls: by level, then by rank, then those that are not late, then by
 // turns between callers, then by when their answers stop being useful, and last
 // by arrival.
 func (t *Ticket) compare(other *Ticket) int {
@@ -63,6 +80,7 @@
 		return 0
 	}
 	return cmp.Or(
+		cmp.Compare(t.level, other.level),
 		cmp.Compare(t.request.Rank, other.request.Rank),
 		cmp.Compare(late(t), late(other)),
 		cmp.Compare(t.callerBacklog, other.callerBacklog),
