call: Bound headers and bodies that never end

Cause: users report upstreams in trouble that send bytes without end in place of a response. UpstreamClient read headers without a limit, up to the call's deadline; and a body without end kept the upstream's slot for as long as a caller stopped reading, since the write to it never ended where ingress and owner are the same node. Change: the headers of one response are limited to 64 KB; a longer one breaks the connection and counts as a failure of the upstream. Writing a response that is still being received ends one second after the caller's deadline.

--- a/call/body.go
+++ b/call/body.go
@@ -165,6 +165,20 @@
 	}
 }
 
+// setWriteDeadline bounds how long an HTTP/1 caller may take to read a response
+// that is still being received from the upstream: until _drainTimeout after the
+// caller's deadline. A caller that stops reading would otherwise hold the
+// upstream's slot. The returned function removes the bound.
+func setWriteDeadline(w http.ResponseWriter, r *http.Request, response *http.Response, deadline time.Time) func() {
+	if r.ProtoMajor != 1 || response.ContentLength >= 0 && response.ContentLength <= _maxBufferedResponseBytes {
+		return func() {}
+	}
+	controller := http.NewResponseController(w)
+	// Ignored: a connection that doesn't support deadlines has none.
+	_ = controller.SetWriteDeadline(deadline.Add(_drainTimeout))
+	return func() { _ = controller.SetWriteDeadline(time.Time{}) }
+}
+
 // enableFullDuplex lets a response begin before the request was read to its
 // end.
 func enableFullDuplex(w http.ResponseWriter) {
--- a/call/cluster_test.go
+++ b/call/cluster_test.go
@@ -38,6 +38,8 @@
 	pool    *routing.Pool
 	// timeout is that of the routes.
 	timeout time.Duration
+	// ingressDependencies are those that ingress was built from.
+	ingressDependencies call.IngressDependencies
 }
 
 // testOwner is an owner with its gate and the observations that it reported.
@@ -96,7 +98,7 @@
 	}
 	assert.Equal(t, len(config.Check(c)), 0)
 	cluster.table = routing.NewTable(c, nil, rand.New(rand.NewPCG(1, 1)))
-	ingress := call.NewIngress(call.IngressDependencies{
+	cluster.ingressDependencies = call.IngressDependencies{
 		Routes:           routes{cluster.table},
 		Endpoints:        cluster.pool,
 		Transport:        call.NewForwardTransport(),
@@ -107,12 +109,27 @@
 		Metrics:          call.NewMetrics(new(expvar.Map), "ingress"),
 		Logger:           klog.Logger{},
 		Now:              time.Now,
-	})
-	cluster.ingress = ingress
-	server := httptest.NewServer(ingress)
+	}
+	cluster.startIngress(t)
+	return cluster
+}
+
+// startIngress starts an ingress with ingressDependencies.
+func (cluster *testCluster) startIngress(t testing.TB) {
+	t.Helper()
+	cluster.ingress = call.NewIngress(cluster.ingressDependencies)
+	server := httptest.NewServer(cluster.ingress)
 	t.Cleanup(server.Close)
 	cluster.url = server.URL
-	return cluster
+}
+
+// useLocalOwner replaces the ingress by one on the node of the first owner.
+func (cluster *testCluster) useLocalOwner(t testing.TB) {
+	t.Helper()
+	local := cluster.owners[0]
+	cluster.ingressDependencies.LocalOwner = local.Owner
+	cluster.ingressDependencies.Self = func() membership.Member { return local.member }
+	cluster.startIngress(t)
 }
 
 // newTestOwner starts the owner of the upstream at the given address.
--- a/call/ingress_call.go
+++ b/call/ingress_call.go
@@ -249,6 +249,7 @@
 
 // writeResponse writes an upstream's response to the caller.
 func (c *ingressCall) writeResponse(response *http.Response) {
+	defer setWriteDeadline(c.writer, c.request, response, c.receivedAt.Add(c.callerRemaining))()
 	if err := copyResponse(c.writer, response); err != nil {
 		c.ingress.deps.Metrics.count(Result{Outcome: Unknown, Reason: ReasonConnectionBroken})
 		c.ingress.deps.Logger.Info("Aborted response", "call", c.id, "cause", err)
--- a/call/upstream_client.go
+++ b/call/upstream_client.go
@@ -73,11 +73,40 @@
 	}
 }
 
+// errHeaderTooLong means that an upstream sent more bytes in place of a
+// response's headers than allowed.
+var errHeaderTooLong = errors.New("upstream response has too long headers")
+
+// headerLimiter reads from a connection and bounds the bytes that are read for
+// the headers of one response. An upstream in trouble may send bytes that never
+// end.
+type headerLimiter struct {
+	conn net.Conn
+	// left is how many bytes may still be read while limited is set.
+	left    int
+	limited bool
+}
+
+// Read reads from the connection. It returns errHeaderTooLong when the limit is
+// reached.
+func (l *headerLimiter) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.conn.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errHeaderTooLong
+	}
+	n, err := l.conn.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
 // upstreamConn is one connection to the upstream.
 type upstreamConn struct {
 	*countingConn
-	reader *bufio.Reader
-	writer *bufio.Writer
+	limiter *headerLimiter
+	reader  *bufio.Reader
+	writer  *bufio.Writer
 	// idleDeadline is the time until which the idle connection may be reused.
 	idleDeadline time.Time
 }
@@ -149,7 +178,7 @@
 // and those to other calls.
 func (c *UpstreamClient) receive(conn *upstreamConn, request *http.Request) (*http.Response, error) {
 	for range _maxStrayResponses {
-		response, err := http.ReadResponse(conn.reader, request)
+		response, err := conn.readHeader(request)
 		if err != nil {
 			return nil, errors.Wrap(err, "read from upstream")
 		}
@@ -167,6 +196,14 @@
 	return nil, errStrayResponses
 }
 
+// readHeader reads the headers of the next response, at most
+// _maxResponseHeaderBytes.
+func (conn *upstreamConn) readHeader(request *http.Request) (*http.Response, error) {
+	conn.limiter.left, conn.limiter.limited = _maxResponseHeaderBytes, true
+	defer func() { conn.limiter.limited = false }()
+	return http.ReadResponse(conn.reader, request)
+}
+
 // acquireConn returns an idle connection and true, or a new one and false.
 func (c *UpstreamClient) acquireConn(ctx context.Context, address string) (*upstreamConn, bool, error) {
 	for {
@@ -183,9 +220,11 @@
 	if err != nil {
 		return nil, false, err
 	}
+	limiter := &headerLimiter{conn: newConn}
 	return &upstreamConn{
 		countingConn: newConn,
-		reader:       bufio.NewReaderSize(newConn, _connBufferBytes),
+		limiter:      limiter,
+		reader:       bufio.NewReaderSize(limiter, _connBufferBytes),
 		writer:       bufio.NewWriterSize(newConn, _connBufferBytes),
 	}, false, nil
 }
