node: Keep the upstream in use while callers leave a stopping node

Cause: a planned stop made the owner refuse calls at once, although callers need 2.9 s to leave the node. A heartbeat during the stop also made the owner take calls again. Change: the node is not ready at once, and tells peers 0.6 s before it refuses. Nothing makes it take calls after that. The state is published under the lock of syncUpstreamState. TestHostedStopKeepsUpstreamInUse fails without the change.

--- a/node/announced.go
+++ b/node/announced.go
@@ -100,18 +100,20 @@
 	}
 	lastDeparted := n.upstreamRegistry.LastDeparted()
 	departed := membership.Departure{Process: string(lastDeparted.ID), Incarnation: lastDeparted.Incarnation}
-	if allowed && (state == upstream.Cold || state == upstream.Ready) {
+	leaving := n.lifecycle.State() != membership.Starting
+	switch {
+	case !allowed || state != upstream.Cold && state != upstream.Ready:
+		n.gate.Drain()
+	case !leaving:
 		n.gate.SetLimits(admission.ExactLimits(current.Slots))
 		n.gate.Resume()
-	} else {
-		n.gate.Drain()
 	}
 	if reason != n.exclusionReason {
 		n.deps.Logger.Info("Upstream exclusion changed", "process", current.ID, "version", current.Version, "reason", reason)
 		n.exclusionReason = reason
 	}
-	if n.lifecycle.State() != membership.Starting {
-		// The node itself is leaving, and its record already says so.
+	if leaving {
+		// The node's record already says so.
 		n.members.UpdateSelf(now, func(m *membership.Member) { m.LastDeparture = departed })
 		return
 	}
--- a/node/hosted_integration_test.go
+++ b/node/hosted_integration_test.go
@@ -44,11 +44,14 @@
 	base  netip.AddrPort
 	nodes []*hostedNode
 	ids   atomic.Int64
+	// leaveNotice is the leave notice of nodes that are started from now on.
+	leaveNotice time.Duration
 }
 
 // hostedNode is a node and its upstream.
 type hostedNode struct {
 	*node.Node
+	admin string
 	calls string
 	mu    sync.Mutex
 	// runs counts the calls that the upstream ran, by attempt ID.
@@ -119,7 +122,7 @@
 	}
 	client := platform.NewClient(c.base, transport)
 	timing := node.DefaultTiming()
-	timing.DrainTimeout, timing.LeaveNotice = _drainTimeout, 50*time.Millisecond
+	timing.DrainTimeout, timing.LeaveNotice = _drainTimeout, max(c.leaveNotice, 50*time.Millisecond)
 	timing.GossipInterval, timing.ZoneGossipInterval, timing.HealthCheckInterval = 50*time.Millisecond, 100*time.Millisecond, 50*time.Millisecond
 	n.Node = node.New(node.Dependencies{
 		ID: membership.NodeID(id), Region: "r", Zone: zone, PeerAddress: netip.MustParseAddrPort(l.Peers.Addr().String()),
@@ -129,6 +132,7 @@
 		Dialect: platform.Headers{}, Listeners: l, Logger: klog.Logger{}, Now: time.Now,
 	})
 	n.calls = "http://" + l.Calls.Addr().String()
+	n.admin = "http://" + l.Admin.Addr().String()
 	n.announce = func(leaving bool) upstream.Result {
 		n.sequence++
 		return n.HandleAnnouncement(time.Now(), upstream.Announcement{
@@ -199,6 +203,15 @@
 
 var _hostedCaller = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 
+// readiness returns the status of a node's readiness check.
+func (c *hostedCluster) readiness(n *hostedNode) int {
+	c.t.Helper()
+	response, err := http.Get(n.admin + "/readyz")
+	assert.NilError(c.t, err)
+	defer func() { _ = response.Body.Close() }()
+	return response.StatusCode
+}
+
 // callUntil sends calls through all nodes until a condition holds.
 func (c *hostedCluster) callUntil(condition string, holds func() bool) {
 	c.t.Helper()
@@ -397,6 +410,35 @@
 	calling.Wait()
 }
 
+// A node that stops as planned is not ready at once, but its upstream goes on
+// taking calls from other nodes until shortly before the node refuses them. No
+// call fails.
+func TestHostedStopKeepsUpstreamInUse(t *testing.T) {
+	c := newHostedCluster(t, "v1")
+	c.leaveNotice = 1500 * time.Millisecond
+	stopping := c.start("n1", "z", "v1")
+	c.callUntil("both serve", c.serving(2))
+	began := time.Now()
+	stopping.Stop()
+	// Peers would have learned of a stop after this time.
+	time.Sleep(300 * time.Millisecond)
+	assert.Equal(t, c.readiness(stopping), http.StatusServiceUnavailable)
+	ran := stopping.callCount()
+	for time.Since(began) < 700*time.Millisecond {
+		assert.Equal(t, c.call(c.nodes[0], "/batches/1"), http.StatusOK)
+	}
+	assert.Assert(t, stopping.callCount() > ran, "the upstream was not used during the notice")
+	for ended := false; !ended; {
+		assert.Equal(t, c.call(c.nodes[0], "/batches/1"), http.StatusOK)
+		select {
+		case <-stopping.done:
+			ended = true
+		default:
+		}
+	}
+	assert.Assert(t, time.Since(began) < 2500*time.Millisecond, "stopped after %s", time.Since(began))
+}
+
 // An upstream departs and its node confirms that; the node restarts, and a late
 // heartbeat from before the departure arrives. The confirmation must still
 // hold: the departed process gets no call.
--- a/node/node.go
+++ b/node/node.go
@@ -238,7 +238,9 @@
 	// for gossip.
 	broadcasts    *membership.BroadcastQueue
 	stopRequested chan struct{}
-	stopOnce      sync.Once
+	// stopping is set at the start of a planned stop.
+	stopping atomic.Bool
+	stopOnce sync.Once
 	// startedAt is when the node was built. joined is set once it has made
 	// first contact with another node.
 	startedAt time.Time
--- a/node/servers.go
+++ b/node/servers.go
@@ -105,7 +105,7 @@
 // and is not leaving.
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
 	state := n.lifecycle.State()
-	if n.Table() == nil || state == membership.Draining || state == membership.Left {
+	if n.Table() == nil || n.stopping.Load() {
 		http.Error(w, "not ready: "+state.String(), http.StatusServiceUnavailable)
 		return
 	}
@@ -157,22 +157,30 @@
 	return errStopped
 }
 
-// drain takes the node out of service: it notifies peers, closes callers'
-// connections after their next response so that they connect to other nodes,
-// refuses new calls as not run after Timing.LeaveNotice, waits for in-flight
-// calls, and releases the controller's lease. Timing.DrainTimeout counts from
-// the start of the drain.
+// _peerNotice is how long before the end of Timing.LeaveNotice peers are told
+// that the upstream takes no more calls. Callers need more notice than peers:
+// they leave only after readiness checks have failed, and until then the
+// upstream's slots would stay unused.
+const _peerNotice = 600 * time.Millisecond
+
+// drain takes the node out of service. It reports the node as not ready and
+// closes callers' connections after their next response, so that they connect
+// to other nodes; near the end of Timing.LeaveNotice it tells peers to send no
+// more calls. After LeaveNotice it refuses new calls as not run, waits for
+// in-flight calls, and releases the controller's lease. Timing.DrainTimeout
+// counts from the start of the drain.
 func (n *Node) drain(ctx context.Context) {
 	n.deps.Logger.Info("Draining", "node", n.deps.ID)
 	timeout := time.NewTimer(n.deps.Timing.DrainTimeout)
 	defer timeout.Stop()
-	n.lifecycle.Drain()
-	n.announceState(membership.Draining)
-	n.gate.Drain()
-	n.ingress.DisableKeepAlives()
 	noticeOver := time.After(n.deps.Timing.LeaveNotice)
+	n.stopping.Store(true)
+	n.ingress.DisableKeepAlives()
+	sleep(ctx, n.deps.Timing.LeaveNotice-_peerNotice)
+	n.announceLeaving()
 	n.notifyLeaving(ctx)
 	<-noticeOver
+	n.drainGate()
 	n.ingress.StopAccepting()
 	finished := make(chan struct{})
 	go func() {
@@ -191,6 +199,22 @@
 	n.deps.Logger.Info("Left", "node", n.deps.ID)
 }
 
+// announceLeaving publishes that the node is draining. The lock keeps
+// syncUpstreamState from publishing an earlier state after it.
+func (n *Node) announceLeaving() {
+	n.upstreamMu.Lock()
+	defer n.upstreamMu.Unlock()
+	n.lifecycle.Drain()
+	n.announceState(membership.Draining)
+}
+
+// drainGate makes the owner refuse calls as not run, for good: the node leaves.
+func (n *Node) drainGate() {
+	n.upstreamMu.Lock()
+	defer n.upstreamMu.Unlock()
+	n.gate.Drain()
+}
+
 // announceState sets the state in this node's membership record, which gossip
 // spreads.
 func (n *Node) announceState(state membership.State) {
