--- a/settings/settings.go
+++ b/settings/settings.go
@@ -141,6 +141,7 @@
 		{name: "health-period", defaultValue: p.HealthCheckInterval.String(), help: "time between checks of the upstream"},
 		{name: "leave-notice", defaultValue: p.LeaveNotice.String(), help: "time for which the node still accepts calls during a planned stop"},
 		{name: "drain-timeout", defaultValue: p.DrainTimeout.String(), help: "maximum wait for in-flight calls during a planned stop"},
+		{name: "kill-after", defaultValue: "0s", help: "time after which the platform kills the process in a planned stop; the stop then ends shortly before; 0s if it never does"},
 		{name: "leave-out-after", defaultValue: p.ExcludeZoneAfter.String(), help: "time without contact after which a zone no longer blocks rollouts"},
 		{name: "suspicion-timeout", defaultValue: m.SuspicionTimeout.String(), help: "time that a suspected member has to refute the suspicion before it is marked as failed"},
 		{name: "lease-lifetime", defaultValue: l.Lifetime.String(), help: "time without renewal after which another controller takes over"},
@@ -263,6 +264,7 @@
 		},
 		Verbosity: r.number("verbosity", 0, 9),
 	}
+	s.Timing.DrainTimeout = r.drainTimeout(s.Timing)
 	s.PeerListenAddress = s.PeerAddress
 	if r.text("peer-listen-address") != "" {
 		s.PeerListenAddress = r.address("peer-listen-address")
@@ -279,6 +281,24 @@
 	return s
 }
 
+// _killMargin is how long before the platform kills the process a planned stop
+// stops waiting for in-flight calls. Telling peers and closing the servers takes
+// up to half a second, and the platform's signal may arrive late.
+const _killMargin = 900 * time.Millisecond
+
+// drainTimeout returns the maximum wait for in-flight calls in a planned stop:
+// that of the settings or, if it is shorter, what the platform allows.
+func (r *reader) drainTimeout(t node.Timing) time.Duration {
+	if text := r.text("kill-after"); text == "" || text == "0s" {
+		return t.DrainTimeout
+	}
+	killAfter := r.duration("kill-after")
+	if killAfter <= t.LeaveNotice+_killMargin {
+		r.faultf("kill-after", "%s leaves no time for calls in flight; use more than leaveNotice and %s, or a shorter leaveNotice", killAfter, _killMargin)
+	}
+	return min(t.DrainTimeout, killAfter-_killMargin)
+}
+
 // leaseTiming returns the timing for a lifetime, with the same proportions as
 // the default timing.
 func leaseTiming(lifetime time.Duration) lease.Timing {
