--- a/admission/ticket.go
+++ b/admission/ticket.go
@@ -69,9 +69,9 @@
 	return int(rank) + int(math.Round(math.Log2(float64(expectedDuration)/float64(time.Millisecond))))
 }
 
-// compare orders waiting calls: by level, then by rank, then those that are not late, then by
-// turns between callers, then by when their answers stop being useful, and last
-// by arrival.
+// compare orders waiting calls: by level, then by rank, then those that are not
+// late, then by turns between callers, then by when their answers stop being
+// useful, and last by arrival.
 func (t *Ticket) compare(other *Ticket) int {
 	late := func(t *Ticket) int {
 		if t.late {
--- a/node/announced.go
+++ b/node/announced.go
@@ -113,7 +113,7 @@
 		n.exclusionReason = reason
 	}
 	if leaving {
-		// The node's record already says so.
+		// The record already says that the node is leaving.
 		n.members.UpdateSelf(now, func(m *membership.Member) { m.LastDeparture = departed })
 		return
 	}
--- a/node/hosted_integration_test.go
+++ b/node/hosted_integration_test.go
@@ -410,7 +410,7 @@
 	calling.Wait()
 }
 
-// A node that stops as planned is not ready at once, but its upstream goes on
+// A node that begins a planned stop is no longer ready, but its upstream goes on
 // taking calls from other nodes until shortly before the node refuses them. No
 // call fails.
 func TestHostedStopKeepsUpstreamInUse(t *testing.T) {
--- a/node/servers.go
+++ b/node/servers.go
@@ -102,14 +102,16 @@
 }
 
 // serveReady serves the readiness check. The node is ready while it has routes
-// and is not leaving.
+// and no planned stop has begun.
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
-	state := n.lifecycle.State()
-	if n.Table() == nil || n.stopping.Load() {
-		http.Error(w, "not ready: "+state.String(), http.StatusServiceUnavailable)
-		return
+	switch {
+	case n.stopping.Load():
+		http.Error(w, "not ready: stopping", http.StatusServiceUnavailable)
+	case n.Table() == nil:
+		http.Error(w, "not ready: no configuration", http.StatusServiceUnavailable)
+	default:
+		_, _ = w.Write([]byte("ready: " + n.lifecycle.State().String() + "\n"))
 	}
-	_, _ = w.Write([]byte("ready: " + state.String() + "\n"))
 }
 
 // Stop begins a planned stop, which ends Run: the node notifies its peers,
