evidence: Add a failing test of how soon a slow version is found

One window adds at most 2.5 to the evidence of slow calls, so that a verdict takes five or six windows of a second. No behavior changes.

--- a/evidence/detector_test.go
+++ b/evidence/detector_test.go
@@ -253,6 +253,20 @@
 	}
 }
 
+// A bad version must get no call later than 5 s after its 50th bad answer.
+// Reporting the calls and telling all nodes takes up to one second of that, so
+// the verdict must come within 4 s. Here the 50th slow call ends in the first
+// second.
+func TestSlowVersionIsFoundInTime(t *testing.T) {
+	const n, within = 5, 1 + 4
+	tr := baseTrial()
+	tr.callsPerSecond, tr.share, tr.upstreams = 1200, 0.1, 12
+	tr.candidate = always(behavior{0.002, 3})
+	bad, calls, seconds := tr.runSeeds(n)
+	assert.Equal(t, bad, n)
+	assert.Assert(t, seconds <= within, "found after %.1f s and %.0f calls", seconds, calls)
+}
+
 // Lost, duplicated and late reports yield the same counts as if each had
 // arrived once.
 func TestReportsCountOnce(t *testing.T) {
