call, node: Show why a caller's connection was closed

Aborted responses now name route, upstream, status, length and the time left, and are counted (ingressAborted). Closes of idle connections are counted and logged at level 1, and so are requests that arrived as theirs was closed (requestsAtIdleClose).

--- a/call/ingress_call.go
+++ b/call/ingress_call.go
@@ -185,7 +185,7 @@
 		return result
 	}
 	defer func() { _ = response.Body.Close() }()
-	c.writeResponse(response)
+	c.writeResponse(endpoint, response)
 	return result
 }
 
@@ -248,11 +248,13 @@
 }
 
 // writeResponse writes an upstream's response to the caller.
-func (c *ingressCall) writeResponse(response *http.Response) {
+func (c *ingressCall) writeResponse(endpoint *routing.Endpoint, response *http.Response) {
 	defer setWriteDeadline(c.writer, c.request, response, c.receivedAt.Add(c.callerRemaining))()
 	if err := copyResponse(c.writer, response); err != nil {
 		c.ingress.deps.Metrics.count(Result{Outcome: Unknown, Reason: ReasonConnectionBroken})
-		c.ingress.deps.Logger.Info("Aborted response", "call", c.id, "cause", err)
+		c.ingress.deps.Metrics.aborted.Add(1)
+		c.ingress.deps.Logger.Info("Aborted response", "call", c.id, "route", c.target.Route.Name, "upstream", endpoint.Member.ID,
+			"status", response.StatusCode, "length", response.ContentLength, "left", c.deadline.Sub(c.ingress.deps.Now()), "cause", err.Error())
 		// Aborting the connection shows the caller that the response is
 		// incomplete. Returning would make it look complete but shorter.
 		panic(http.ErrAbortHandler)
--- a/call/metrics.go
+++ b/call/metrics.go
@@ -10,21 +10,26 @@
 	outcomes *expvar.Map
 	reasons  *expvar.Map
 	retries  *expvar.Int
+	// aborted counts responses that broke after they had begun. It stays 0 at
+	// owners.
+	aborted *expvar.Int
 	// latency holds the latencies of calls by route and outcome. It stays empty
 	// at owners, which record none.
 	latency *latencyHistograms
 }
 
 // NewMetrics returns metrics and publishes them in parent as NAMEOutcomes,
-// NAMEReasons, NAMERetries and NAMELatencyMillis, where NAME is the given name.
+// NAMEReasons, NAMERetries,
+// NAMEAborted and NAMELatencyMillis, where NAME is the given name.
 func NewMetrics(parent *expvar.Map, name string) *Metrics {
-	m := &Metrics{outcomes: new(expvar.Map), reasons: new(expvar.Map), retries: new(expvar.Int), latency: newLatencyHistograms()}
+	m := &Metrics{outcomes: new(expvar.Map), reasons: new(expvar.Map), retries: new(expvar.Int), aborted: new(expvar.Int), latency: newLatencyHistograms()}
 	for _, o := range []Outcome{Answered, NotRun, Unknown} {
 		m.outcomes.Add(o.String(), 0)
 	}
 	parent.Set(name+"Outcomes", m.outcomes)
 	parent.Set(name+"Reasons", m.reasons)
 	parent.Set(name+"Retries", m.retries)
+	parent.Set(name+"Aborted", m.aborted)
 	parent.Set(name+"LatencyMillis", expvar.Func(m.latency.summary))
 	return m
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -21,6 +21,8 @@
 	gauge("ordersUnderWay", func() uint64 { return uint64(len(n.orderTable.Active())) })
 	gauge("quarantines", func() uint64 { return uint64(len(n.quarantines.All())) })
 	gauge("identitiesKept", func() uint64 { return uint64(n.identities.Len()) })
+	gauge("callersClosedIdle", n.callerConns.ClosedCount)
+	gauge("requestsAtIdleClose", n.callerConns.CrossedCount)
 	gauge("goroutines", func() uint64 { return uint64(runtime.NumGoroutine()) })
 	gauge("heapBytes", func() uint64 {
 		var m runtime.MemStats
--- a/node/servers.go
+++ b/node/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log"
 	"net"
 	"net/http"
 	"strings"
@@ -55,6 +56,7 @@
 		IdleTimeout:       _callerIdleTimeout,
 		MaxHeaderBytes:    _maxRequestHeaderBytes,
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: _maxConcurrentStreams},
+		ErrorLog:          log.New(serverLog{n.deps.Logger}, "", 0),
 	}
 }
 
--- a/node/steps.go
+++ b/node/steps.go
@@ -124,8 +124,12 @@
 // closeIdleCallers closes callers' connections that were idle for longer than
 // the configuration allows.
 func (n *Node) closeIdleCallers(context.Context) {
-	if table := n.Table(); table != nil {
-		n.callerConns.closeExpired(n.deps.Now(), table.Limits.IdleTimeout)
+	table := n.Table()
+	if table == nil {
+		return
+	}
+	if closed := n.callerConns.closeExpired(n.deps.Now(), table.Limits.IdleTimeout); closed > 0 {
+		n.deps.Logger.V(1).Info("Closed idle connections", "closed", closed, "idleTimeout", table.Limits.IdleTimeout)
 	}
 }
 
