call: Add failing tests of answers that are cut on their way

The tests send three calls on one connection and cut the answer to the second, by close, reset or silence, between two nodes and at the upstream. Test clusters close their idle connections, which kept scripts waiting.

--- a/call/cluster_test.go
+++ b/call/cluster_test.go
@@ -97,11 +97,13 @@
 		},
 	}
 	assert.Equal(t, len(config.Check(c)), 0)
+	toOwners := call.NewForwardTransport()
+	t.Cleanup(toOwners.CloseIdleConnections)
 	cluster.table = routing.NewTable(c, nil, rand.New(rand.NewPCG(1, 1)))
 	cluster.ingressDependencies = call.IngressDependencies{
 		Routes:           routes{cluster.table},
 		Endpoints:        cluster.pool,
-		Transport:        call.NewForwardTransport(),
+		Transport:        toOwners,
 		Dialect:          call.NativeDialect{},
 		Budgets:          retry.NewBudgets[config.ServiceName](retry.DefaultLimits()),
 		NodeCount:        func() int { return 1 },
@@ -140,10 +142,12 @@
 		ID: id, Incarnation: 1, State: membership.Serving, Zone: "a", Region: "r",
 		Service: "s", Version: "v1", Slots: _testSlots,
 	}
+	toUpstream := call.NewUpstreamClient(_testSlots, call.NativeDialect{})
+	t.Cleanup(toUpstream.CloseIdleConnections)
 	o.Owner = call.NewOwner(call.OwnerDependencies{
 		Self:       func() membership.Member { return o.member },
 		Upstream:   upstream,
-		Transport:  call.NewUpstreamClient(_testSlots, call.NativeDialect{}),
+		Transport:  toUpstream,
 		Dialect:    call.NativeDialect{},
 		Gate:       o.gate,
 		Identities: identity.New(time.Now(), config.MaxTimeout, 1000),
--- /dev/null
+++ b/call/cut_answer_test.go
@@ -0,0 +1,151 @@
+package call_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lentilferry.example/lentilferry/call"
+	"lentilferry.example/lentilferry/membership"
+)
+
+// keptConnection sends a caller's requests on one connection.
+type keptConnection struct {
+	client *http.Client
+	// reused is set if the last request was sent on the connection of the one
+	// before it.
+	reused bool
+}
+
+func newKeptConnection(t testing.TB) *keptConnection {
+	transport := &http.Transport{MaxConnsPerHost: 1}
+	t.Cleanup(transport.CloseIdleConnections)
+	return &keptConnection{client: &http.Client{Transport: transport}}
+}
+
+// send sends a command and returns what came back.
+func (k *keptConnection) send(t testing.TB, url string) callResult {
+	t.Helper()
+	request := newRequest(t, http.MethodPost, url, strings.NewReader("print"))
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { k.reused = info.Reused }}
+	response, err := k.client.Do(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	if err != nil {
+		return callResult{broken: true}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return callResult{
+		status:  response.StatusCode,
+		outcome: response.Header.Get(call.HeaderOutcome),
+		reason:  response.Header.Get(call.HeaderReason),
+		body:    string(body),
+		broken:  err != nil,
+	}
+}
+
+// _cutAnswers are answers that end before they are whole.
+var _cutAnswers = []struct{ name, begin string }{
+	{"head", "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n"},
+	{"half", "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nans"},
+	{"chunked head", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"},
+	{"chunked half", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nans\r\n"},
+	{"chunked without end", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nanswer\r\n"},
+}
+
+// _cuts are ways in which an answer is cut, and the results for the caller.
+var _cuts = []struct {
+	name    string
+	cut     script
+	timeout time.Duration
+	status  int
+	reason  call.Reason
+}{
+	{"close", func(*scriptedUpstream, net.Conn, *bufio.Reader) {}, _longTimeout, http.StatusBadGateway, call.ReasonConnectionBroken},
+	{"reset", resetOnClose, _longTimeout, http.StatusBadGateway, call.ReasonConnectionBroken},
+	{"silence", func(s *scriptedUpstream, _ net.Conn, _ *bufio.Reader) { s.blockUntilTestEnds() }, _shortTimeout, http.StatusGatewayTimeout, call.ReasonDeadline},
+}
+
+// resetOnClose makes the close of a connection a reset.
+func resetOnClose(_ *scriptedUpstream, conn net.Conn, _ *bufio.Reader) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
+// cutSecondAnswer answers the first call whole and cuts the answer to the
+// second one, and so on.
+func cutSecondAnswer(begin string, cut script) script {
+	return func(s *scriptedUpstream, conn net.Conn, r *bufio.Reader) {
+		for s.readAll(r) != nil {
+			if s.calls.Load()%2 == 0 {
+				writeText(conn, begin)
+				cut(s, conn, r)
+				return
+			}
+			writeText(conn, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nanswer")
+		}
+	}
+}
+
+// assertCutAnswerIsReplaced sends three calls on one connection, of which the
+// answer to the second is cut.
+func assertCutAnswerIsReplaced(t *testing.T, url string, status int, reason call.Reason) {
+	t.Helper()
+	caller := newKeptConnection(t)
+	first := caller.send(t, url)
+	assert.Equal(t, first.body, "answer")
+	second := caller.send(t, url)
+	assert.Assert(t, caller.reused && !second.broken, "the caller's connection was closed without an answer")
+	assert.Equal(t, second.status, status)
+	assert.Equal(t, second.outcome, call.Unknown.String())
+	assert.Equal(t, second.reason, string(reason))
+	third := caller.send(t, url)
+	assert.Assert(t, caller.reused)
+	assert.Equal(t, third.body, "answer")
+}
+
+// A caller whose answer is cut on its way between two nodes gets an answer.
+func TestCallerGetsAnAnswerWhenOneIsCutBetweenNodes(t *testing.T) {
+	for _, answer := range _cutAnswers {
+		for _, c := range _cuts {
+			t.Run(answer.name+"/"+c.name, func(t *testing.T) {
+				t.Parallel()
+				owner := newScriptedUpstream(t, cutSecondAnswer(answer.begin, c.cut))
+				cluster := newTestCluster(t, c.timeout, closedPort(t))
+				cluster.pool.Update([]membership.Member{{
+					ID: "owner", State: membership.Serving, Zone: "a", Region: "r",
+					Service: "s", Version: "v1", Slots: 1, PeerAddress: owner.address,
+				}})
+				assertCutAnswerIsReplaced(t, cluster.url+"/commands", c.status, c.reason)
+			})
+		}
+	}
+}
+
+// The same holds for an answer that is cut on its way from the upstream, whether
+// its owner is on the caller's node or on another one.
+func TestCallerGetsAnAnswerWhenOneIsCutAtTheUpstream(t *testing.T) {
+	for _, answer := range _cutAnswers {
+		for _, c := range _cuts {
+			for _, local := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s/%s/local=%t", answer.name, c.name, local), func(t *testing.T) {
+					t.Parallel()
+					upstream := newScriptedUpstream(t, cutSecondAnswer(answer.begin, c.cut))
+					cluster := newTestCluster(t, c.timeout, upstream.address)
+					if local {
+						cluster.useLocalOwner(t)
+					}
+					assertCutAnswerIsReplaced(t, cluster.url+"/commands", c.status, c.reason)
+				})
+			}
+		}
+	}
+}
