platform: Log the store's era and where reads start

The logs of the incident of the restored store have only the store's revisions. These are given out again after a restore, so that the log can't tell a configuration that was refused as stale from one that a watch skipped.

The client reads the header Store-Era of each response and logs when it changes; the node shows the newest era as the metric storeEra. Each configuration that the store returns is logged with its revision, the era and the revision that the read started after. No decision depends on it yet.

--- a/lentilferryd/main.go
+++ b/lentilferryd/main.go
@@ -178,10 +178,11 @@
 	if err != nil {
 		return errors.Wrapf(err, "platformUrl: a hosted node needs an IP address and port")
 	}
-	client := platform.NewClient(address, transport)
+	client := platform.NewClient(address, transport, d.Logger)
 	d.Platform = client
 	d.ConfigSource = platform.NewConfigWatcher(client, wire.Codec{})
 	d.OrderStore = platform.NewOrderStore(client, d.Logger)
+	d.StoreEra = client.StoreEra
 	d.Dialect = platform.Headers{}
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.AnnounceAddress.String())
 	if err != nil {
--- a/node/hosted_integration_test.go
+++ b/node/hosted_integration_test.go
@@ -120,7 +120,7 @@
 		_, found := localAddrs.Load(remote)
 		return found
 	}
-	client := platform.NewClient(c.base, transport)
+	client := platform.NewClient(c.base, transport, klog.Logger{})
 	timing := node.DefaultTiming()
 	timing.DrainTimeout, timing.LeaveNotice = _drainTimeout, max(c.leaveNotice, 50*time.Millisecond)
 	timing.GossipInterval, timing.ZoneGossipInterval, timing.HealthCheckInterval = 50*time.Millisecond, 100*time.Millisecond, 50*time.Millisecond
@@ -129,7 +129,7 @@
 		Upstream: node.Upstream{Service: "desk", Address: address, SelfAnnounced: true},
 		Timing:   timing, Membership: membership.DefaultTiming(), Lease: lease.DefaultTiming(),
 		Platform: client, ConfigSource: platform.NewConfigWatcher(client, wire.Codec{}), OrderStore: platform.NewOrderStore(client, klog.Logger{}),
-		Dialect: platform.Headers{}, Listeners: l, Logger: klog.Logger{}, Now: time.Now,
+		Dialect: platform.Headers{}, StoreEra: client.StoreEra, Listeners: l, Logger: klog.Logger{}, Now: time.Now,
 	})
 	n.calls = "http://" + l.Calls.Addr().String()
 	n.admin = "http://" + l.Admin.Addr().String()
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -29,6 +29,12 @@
 		runtime.ReadMemStats(&m)
 		return m.HeapAlloc
 	})
+	if n.deps.StoreEra != nil {
+		gauge("storeEra", func() uint64 {
+			era, _ := n.deps.StoreEra()
+			return era
+		})
+	}
 	if n.deps.DroppedLogLines != nil {
 		gauge("logLinesLeftOut", n.deps.DroppedLogLines)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -156,8 +156,11 @@
 	// OrderStore is nil if the product's own rollouts move services between
 	// versions.
 	OrderStore OrderStore
-	Dialect    call.Dialect
-	Listeners  Listeners
+	// StoreEra returns the newest known era of the platform's store, and false
+	// while none is known; nil if the store has no eras.
+	StoreEra  func() (uint64, bool)
+	Dialect   call.Dialect
+	Listeners Listeners
 	// Retries limits the retries of each service; the zero value selects the
 	// default.
 	Retries retry.Limits
--- /dev/null
+++ b/objectstore/history.go
@@ -0,0 +1,52 @@
+package objectstore
+
+import "sync"
+
+// An era of a store lasts until the store is restored from a copy. What the
+// store acknowledged after the copy was made is then lost, and its revisions
+// are given out again, so that a revision has a meaning only within its era.
+
+// EraRelation is how the era of a response relates to the newest known era.
+type EraRelation int
+
+// The relations of a response's era.
+const (
+	// CurrentEra means that the response is of the newest known era.
+	CurrentEra EraRelation = iota + 1
+	// NewEra means that the store was restored since the responses before.
+	NewEra
+	// EndedEra means that the response is of an era that has ended; what it says
+	// may have been lost since.
+	EndedEra
+)
+
+// History is what a client knows of the eras of its store. It is safe for
+// concurrent use.
+type History struct {
+	mu    sync.Mutex
+	era   uint64
+	known bool
+}
+
+// Observe records the era of a response.
+func (h *History) Observe(era uint64) EraRelation {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case !h.known || era == h.era:
+		h.era, h.known = era, true
+		return CurrentEra
+	case era > h.era:
+		h.era = era
+		return NewEra
+	default:
+		return EndedEra
+	}
+}
+
+// Era returns the newest known era, and false before the first response.
+func (h *History) Era() (uint64, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.era, h.known
+}
