platform, node: Add failing tests of a store that is restored from a copy

The stand-in of the store can now be restored from a copy: objects, revisions and history go back, pending watches are cut, and the header Store-Era rises by one; a lagging replica still answers from before.

--- a/internal/fakes/fakestore/fakestore.go
+++ b/internal/fakes/fakestore/fakestore.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -38,6 +39,9 @@
 	StaleReadLag time.Duration
 	// RefuseFrom reports whether calls from a remote address get a 503.
 	RefuseFrom func(remote string) bool
+	// LagBehindRestore makes serializable lists return what the store held when
+	// it was last restored, as a replica does that has not noticed yet.
+	LagBehindRestore bool
 }
 
 // Meta holds the name and the revision of an object.
@@ -62,18 +66,37 @@
 	changedAt time.Time
 }
 
-// Store is an in-memory metadata store with an HTTP API. It is safe for
-// concurrent use.
-type Store struct {
-	mu sync.Mutex
+// Copy is the content of a store at one moment.
+type Copy struct {
 	// objects holds the objects by kind and name.
 	objects map[string]map[string]Object
 	// rev is the revision of the newest change.
 	rev uint64
+	// era is the store's era.
+	era uint64
 	// history holds the changes since compactedRev, oldest first.
 	history []event
 	// compactedRev is the revision up to which the history was removed.
 	compactedRev uint64
+}
+
+// clone returns a copy that doesn't change with the original.
+func (c Copy) clone() Copy {
+	objects := make(map[string]map[string]Object, len(c.objects))
+	for kind, named := range c.objects {
+		objects[kind] = maps.Clone(named)
+	}
+	c.objects, c.history = objects, slices.Clone(c.history)
+	return c
+}
+
+// Store is an in-memory metadata store with an HTTP API. It is safe for
+// concurrent use.
+type Store struct {
+	mu sync.Mutex
+	Copy
+	// ended is what the store held before it was last restored.
+	ended Copy
 	// changed is closed and replaced to notify the pending watches.
 	changed chan struct{}
 	faults  Faults
@@ -85,7 +108,7 @@
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{objects: make(map[string]map[string]Object), rev: 1, changed: make(chan struct{})}
+	return &Store{Copy: Copy{objects: make(map[string]map[string]Object), rev: 1, era: 1}, changed: make(chan struct{})}
 }
 
 // SetFaults replaces the faults.
@@ -114,6 +137,24 @@
 	s.notifyWatchers()
 }
 
+// Backup returns a copy of the store.
+func (s *Store) Backup() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.clone()
+}
+
+// Restore replaces the content of the store, its history and its revision by
+// those of a copy, cuts the pending watches and begins the next era.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = s.Copy
+	s.Copy = c.clone()
+	s.era = s.ended.era + 1
+	s.notifyWatchers()
+}
+
 // WaitForLateWrites waits until all late writes have taken effect.
 func (s *Store) WaitForLateWrites() {
 	s.lateWrites.Wait()
@@ -170,6 +211,7 @@
 		s.fullCalls++
 	}
 	f := s.faults
+	setEra(w, s.era)
 	s.mu.Unlock()
 	// The server detects that the client has gone only once the body is read.
 	body, _ := io.ReadAll(r.Body)
@@ -209,12 +251,22 @@
 	return r.URL.Query().Get("serializable") == "1"
 }
 
+// setEra sets the header with the era that a response is of.
+func setEra(w http.ResponseWriter, era uint64) {
+	w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
+}
+
 // list writes one page of the objects of a kind, ordered by name.
 func (s *Store) list(w http.ResponseWriter, r *http.Request, kind string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	items := make([]Object, 0, len(s.objects[kind]))
-	for _, o := range s.objects[kind] {
+	content := s.Copy
+	if s.faults.LagBehindRestore && isSerializable(r) {
+		content = s.ended
+	}
+	setEra(w, content.era)
+	items := make([]Object, 0, len(content.objects[kind]))
+	for _, o := range content.objects[kind] {
 		if o.Metadata.Name > r.URL.Query().Get("after") {
 			items = append(items, o)
 		}
@@ -224,7 +276,7 @@
 	if hasMore {
 		items = items[:_pageSize]
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"items": items, "has-more": hasMore, "as-of": s.rev})
+	writeJSON(w, http.StatusOK, map[string]any{"items": items, "has-more": hasMore, "as-of": content.rev})
 }
 
 // watch waits until there are changes after the given revision and writes them.
@@ -234,9 +286,17 @@
 	millis, _ := strconv.Atoi(r.URL.Query().Get("wait-ms"))
 	timer := time.NewTimer(time.Duration(millis) * time.Millisecond)
 	defer timer.Stop()
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
+	setEra(w, era)
 	for {
 		s.mu.Lock()
-		if after < s.compactedRev {
+		if s.era != era {
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		if after < s.compactedRev || after > s.rev {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
@@ -305,7 +365,8 @@
 		<-r.Context().Done()
 		return
 	}
-	status, o := s.apply(r.Method, parts, sent)
+	status, o, era := s.apply(r.Method, parts, sent)
+	setEra(w, era)
 	if f.LoseResponses {
 		panic(http.ErrAbortHandler)
 	}
@@ -313,25 +374,25 @@
 }
 
 // apply creates or updates an object, or only its status if parts has three
-// elements, and returns the HTTP status and the object.
-func (s *Store) apply(method string, parts []string, sent Object) (int, Object) {
+// elements, and returns the HTTP status, the object and the store's era.
+func (s *Store) apply(method string, parts []string, sent Object) (int, Object, uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	kind := parts[0]
 	old, exists := s.objects[kind][sent.Metadata.Name]
 	switch {
 	case method == http.MethodPost && exists:
-		return http.StatusConflict, old
+		return http.StatusConflict, old, s.era
 	case method == http.MethodPut && !exists:
-		return http.StatusNotFound, Object{}
+		return http.StatusNotFound, Object{}, s.era
 	case method == http.MethodPut && sent.Metadata.Rev != 0 && sent.Metadata.Rev != old.Metadata.Rev:
-		return http.StatusConflict, old
+		return http.StatusConflict, old, s.era
 	case len(parts) == 3:
 		old.Status = sent.Status
-		return http.StatusOK, s.commit(kind, old)
+		return http.StatusOK, s.commit(kind, old), s.era
 	default:
 		sent.Status = old.Status
-		return http.StatusOK, s.commit(kind, sent)
+		return http.StatusOK, s.commit(kind, sent), s.era
 	}
 }
 
--- a/node/hosted_integration_test.go
+++ b/node/hosted_integration_test.go
@@ -62,6 +62,8 @@
 	// ownsStoreConn reports whether the store's connection from a remote
 	// address belongs to this node.
 	ownsStoreConn func(remote string) bool
+	// storeEra returns the era of the store that the node knows.
+	storeEra func() (uint64, bool)
 	// done is closed when the node has ended.
 	done chan struct{}
 	// id, incarnation and sequence are those of the upstream's announcements.
@@ -121,6 +123,7 @@
 		return found
 	}
 	client := platform.NewClient(c.base, transport, klog.Logger{})
+	n.storeEra = client.StoreEra
 	timing := node.DefaultTiming()
 	timing.DrainTimeout, timing.LeaveNotice = _drainTimeout, max(c.leaveNotice, 50*time.Millisecond)
 	timing.GossipInterval, timing.ZoneGossipInterval, timing.HealthCheckInterval = 50*time.Millisecond, 100*time.Millisecond, 50*time.Millisecond
@@ -493,3 +496,84 @@
 	assert.Assert(t, time.Since(began) >= time.Second, "served after %s", time.Since(began))
 	assert.Assert(t, time.Since(began) < 3*time.Second, "served after %s", time.Since(began))
 }
+
+func TestHostedConfigurationAfterRestore(t *testing.T) {
+	c := newHostedCluster(t, "v1", "v1", "v1")
+	c.callUntil("all serve", c.serving(3))
+	backup := c.store.Backup()
+	route := func(name string) string {
+		return fmt.Sprintf(`,{"name":%q,"path-prefix":"/%s/","kind":"idempotent","timeout":"2s","service":"desk","attempts":2}`, name, name)
+	}
+	serves := func(path string) func() bool {
+		return func() bool {
+			for _, n := range c.nodes {
+				if c.call(n, path) != http.StatusOK {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	c.configure(2, route("slips"))
+	c.configure(4, route("forms"))
+	c.callUntil("all nodes have the change", serves("/forms/1"))
+	c.store.Restore(backup)
+	c.configure(4, route("forms"))
+	c.callUntil("all nodes read the restored store", func() bool {
+		for _, n := range c.nodes {
+			if era, _ := n.storeEra(); era != 2 {
+				return false
+			}
+		}
+		return true
+	})
+	assert.Assert(t, serves("/forms/1")())
+	changed := time.Now()
+	c.configure(5, route("notes"))
+	c.callUntil("all nodes have the change made after the restore", serves("/notes/1"))
+	assert.Assert(t, time.Since(changed) < 2500*time.Millisecond, "took %s", time.Since(changed))
+}
+
+// orderState returns the state that the store has for the order of the service.
+func (c *hostedCluster) orderState() string {
+	object, _ := c.store.Get("rollouts", "desk")
+	var status struct {
+		State string `json:"state"`
+	}
+	_ = json.Unmarshal(object.Status, &status)
+	return status.State
+}
+
+func TestHostedCompletedMoveSurvivesRestore(t *testing.T) {
+	c := newHostedCluster(t, "v1", "v1")
+	c.callUntil("all serve", c.serving(2))
+	c.start("new", "z", "v2")
+	c.callUntil("all know the new version", c.serving(3))
+	c.store.Put("rollouts", "desk", `{"service":"desk","target-version":"v2","duration":"4s"}`)
+	backup := c.store.Backup()
+	c.callUntil("the move is complete", func() bool { return c.orderState() == "complete" })
+	ran := c.nodes[0].callCount() + c.nodes[1].callCount()
+	c.store.Restore(backup)
+	c.callUntil("the operator reads again that the move is complete", func() bool { return c.orderState() == "complete" })
+	assert.Equal(t, c.nodes[0].callCount()+c.nodes[1].callCount(), ran)
+	c.store.Put("rollouts", "desk", `{"service":"desk","target-version":"v1","duration":"4s"}`)
+	c.callUntil("a new order is carried out", func() bool {
+		return c.orderState() == "complete" && c.nodes[0].callCount()+c.nodes[1].callCount() > ran
+	})
+}
+
+func TestHostedRosterIsWrittenAfterRestore(t *testing.T) {
+	c := newHostedCluster(t)
+	backup := c.store.Backup()
+	for i := range 4 {
+		c.start(fmt.Sprint("n", i), "z", "v1")
+	}
+	c.callUntil("all serve", c.serving(4))
+	c.callUntil("the nodes are listed in the roster", func() bool { return c.rosterSize() >= 3 })
+	// By now the relays check the roster rarely.
+	time.Sleep(8 * time.Second)
+	c.store.Restore(backup)
+	restored := time.Now()
+	c.callUntil("the nodes are listed again", func() bool { return c.rosterSize() >= 3 })
+	assert.Assert(t, time.Since(restored) < 3*time.Second, "took %s", time.Since(restored))
+}
