platform, objectstore: Hold revisions for valid only in their era

After a restore the store gives revisions out again. A watch that continued at one of before skipped the changes in between; a status could be written to another order that had got the revision of the one that was read; and a late answer from before the restore could move what was read back.

A revision was taken for a moment in the store's life, but it is one in an era of it. The adapter now turns revision and era into one version, which grows across restores, and back.

--- a/move/move.go
+++ b/move/move.go
@@ -72,8 +72,8 @@
 	Candidate config.VersionName
 	// Duration is how long the move may take from when it was ordered.
 	Duration time.Duration
-	// Revision is the store's revision of the order's last change; it grows
-	// with each change.
+	// Revision is the objectstore version of the order's last change; it grows
+	// with each change, also across a restore of the store.
 	Revision uint64
 	Progress Progress
 }
--- a/objectstore/history.go
+++ b/objectstore/history.go
@@ -1,11 +1,43 @@
 package objectstore
 
-import "sync"
+import (
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
 
 // An era of a store lasts until the store is restored from a copy. What the
 // store acknowledged after the copy was made is then lost, and its revisions
 // are given out again, so that a revision has a meaning only within its era.
 
+const (
+	// _revisionsPerEra is the number of versions of an era; a power of ten, so
+	// that era and revision can be read off a version.
+	_revisionsPerEra = 1_000_000_000_000
+	// _maxEra is the highest era whose versions are representable.
+	_maxEra = 1_000_000
+)
+
+// VersionAt returns the version of the change that has a revision in an era.
+// Versions of a later era are higher than all those of the eras before. The
+// error is that of an era or a revision that is out of range.
+func VersionAt(era, revision uint64) (uint64, error) {
+	if era > _maxEra || revision >= _revisionsPerEra {
+		return 0, errors.Newf("revision %d of era %d is out of range", revision, era)
+	}
+	return era*_revisionsPerEra + revision, nil
+}
+
+// EraOf returns the era of a version.
+func EraOf(version uint64) uint64 {
+	return version / _revisionsPerEra
+}
+
+// RevisionOf returns the revision that a version has in its era.
+func RevisionOf(version uint64) uint64 {
+	return version % _revisionsPerEra
+}
+
 // EraRelation is how the era of a response relates to the newest known era.
 type EraRelation int
 
--- a/objectstore/objectstore.go
+++ b/objectstore/objectstore.go
@@ -39,7 +39,7 @@
 }
 
 // Object is a stored value and its version. Versions grow across the whole
-// store, so that no two writes have the same one.
+// store and its eras, so that no two writes have the same one.
 type Object struct {
 	Key     Key
 	Version uint64
