move, node: Keep what was decided on an order when the store is restored

A move that the operator had read as complete began anew after the store had come back from a copy without its status: its calls went back to upstreams that the operator had stopped. A reverted version would have got calls again.

The order with the higher revision replaced the known one with its progress. After a restore, that is the progress of the copy or none.

The table now joins the orders of different eras for a candidate: the higher revision, and the progress that is ahead. Tables that receive the same orders in any sequence agree. Progress that the store may lack is stored again: at once by the coordinator of a running order, which also counts owners as drained only for the revision that it wrote then; for an ended order by the node that would decide on it, after reading back. An order for another candidate is taken as before, unless it is one that the known order had replaced and comes with progress of its own, as from the copy.

Each of the new tests in package move fails with its part of the change taken out.

--- a/move/coordinator.go
+++ b/move/coordinator.go
@@ -192,6 +192,10 @@
 	case next.State == Ordered:
 		next.State, next.Share, next.Reason = Running, 0, "the version is awaited"
 		return next, true
+	case active.IsUnsaved:
+		// Owners may have applied this revision of the order with less progress.
+		c.lastStageRevision = 0
+		return next, true
 	case c.stage == len(_stages)-1:
 		if c.lastStageRevision == 0 {
 			c.lastStageRevision = active.Order.Revision
--- a/move/move.go
+++ b/move/move.go
@@ -65,6 +65,18 @@
 	Reason string
 }
 
+// isAheadOf reports whether p is a later decision than q on the same candidate.
+func (p Progress) isAheadOf(q Progress) bool {
+	switch {
+	case q.State.Ended():
+		return false
+	case p.State.Ended():
+		return true
+	default:
+		return p.State == Running && (q.State != Running || p.Share > q.Share)
+	}
+}
+
 // Order is an operator's request to move a service's calls to a version of its
 // upstreams.
 type Order struct {
@@ -84,6 +96,11 @@
 	return string(o.Service) + "/" + string(o.Candidate)
 }
 
+// HasEnded reports whether the order's progress says that it has ended.
+func (o Order) HasEnded() bool {
+	return o.Progress.Candidate == o.Candidate && o.Progress.State.Ended()
+}
+
 // dropForeignProgress resets progress that is missing or about another
 // candidate to Ordered.
 func (o Order) dropForeignProgress() Order {
@@ -102,4 +119,9 @@
 	deadline time.Time
 	// startedAt is when this node first received the order.
 	startedAt time.Time
+	// isUnsaved is set when the store may lack the order's progress because it
+	// was restored from a copy.
+	isUnsaved bool
+	// superseded is the candidate of the order before.
+	superseded config.VersionName
 }
--- a/move/move_test.go
+++ b/move/move_test.go
@@ -11,6 +11,7 @@
 	"lentilferry.example/lentilferry/evidence"
 	"lentilferry.example/lentilferry/internal/testseed"
 	"lentilferry.example/lentilferry/membership"
+	"lentilferry.example/lentilferry/objectstore"
 )
 
 func TestMain(m *testing.M) { testseed.Main(m) }
@@ -75,6 +76,143 @@
 	assert.DeepEqual(t, first, config.VersionSet{Except: "v3"})
 }
 
+// versionAt returns the version of a revision in an era.
+func versionAt(t assert.TestingT, era, revision uint64) uint64 {
+	version, err := objectstore.VersionAt(era, revision)
+	assert.NilError(t, err)
+	return version
+}
+
+func TestProgressSurvivesRestore(t *testing.T) {
+	for _, test := range []struct {
+		name           string
+		known, stored  Progress
+		want           State
+		wantShare      config.Share
+		wantUnsavedEnd bool
+	}{
+		{"end lost", newProgress(Complete, config.FullShare), Progress{}, Complete, config.FullShare, true},
+		{"end older", newProgress(Reverted, 0), newProgress(Running, 1500), Reverted, 0, true},
+		{"share lost", newProgress(Running, 1500), Progress{}, Running, 1500, false},
+		{"share older", newProgress(Running, 1500), newProgress(Running, 500), Running, 1500, false},
+		{"written meanwhile", newProgress(Running, 1500), newProgress(Reverted, 0), Reverted, 0, true},
+	} {
+		table := NewOrderTable()
+		table.Merge(_start, newOrder(versionAt(t, 1, 9), test.known))
+		restored := newOrder(versionAt(t, 2, 5), test.stored)
+		assert.Assert(t, table.Merge(_start.Add(time.Second), restored), test.name)
+		o, _, _ := table.Order("desk")
+		assert.Equal(t, o.Revision, restored.Revision, test.name)
+		assert.Equal(t, o.Progress.State, test.want, test.name)
+		assert.Equal(t, o.Progress.Share, test.wantShare, test.name)
+		assert.Equal(t, len(table.UnsavedEnds()) == 1, test.wantUnsavedEnd, test.name)
+		// Once it is stored again nothing is left to do.
+		o.Revision++
+		table.Merge(_start.Add(2*time.Second), o)
+		assert.Equal(t, len(table.UnsavedEnds()), 0, test.name)
+		for _, active := range table.Active() {
+			assert.Assert(t, !active.IsUnsaved, test.name)
+		}
+	}
+}
+
+// A node that knows an order only from the restored store takes the kept
+// progress from another node, and knows that it must be stored.
+func TestKeptProgressSpreadsAtSameRevision(t *testing.T) {
+	restored := newOrder(versionAt(t, 2, 5), Progress{})
+	table := NewOrderTable()
+	table.Merge(_start, restored)
+	kept := newOrder(restored.Revision, newProgress(Running, 1500))
+	assert.Assert(t, table.Merge(_start, kept))
+	assert.Assert(t, !table.Merge(_start, restored))
+	active := table.Active()
+	assert.Equal(t, active[0].Order.Progress.Share, config.Share(1500))
+	assert.Assert(t, active[0].IsUnsaved)
+}
+
+// An order that the operator writes after a restore is taken, and one that the
+// copy has from before the known order is not.
+func TestOrderAfterRestore(t *testing.T) {
+	order := func(version uint64, candidate config.VersionName, state State) Order {
+		return Order{Service: "desk", Candidate: candidate, Duration: _duration, Revision: version, Progress: Progress{State: state, Candidate: candidate}}
+	}
+	table := NewOrderTable()
+	candidate := func() config.VersionName {
+		o, _, _ := table.Order("desk")
+		return o.Candidate
+	}
+	table.Merge(_start, order(versionAt(t, 1, 5), "v2", Complete))
+	table.Merge(_start, order(versionAt(t, 1, 8), "v3", Running))
+	assert.Assert(t, !table.Merge(_start, order(versionAt(t, 2, 5), "v2", Complete)))
+	assert.Equal(t, candidate(), config.VersionName("v3"))
+	assert.Assert(t, table.Merge(_start, order(versionAt(t, 2, 6), "v3", 0)))
+	o, _, _ := table.Order("desk")
+	assert.Equal(t, o.Progress.State, Running)
+	assert.Assert(t, table.Merge(_start, order(versionAt(t, 2, 7), "v2", 0)))
+	assert.Equal(t, candidate(), config.VersionName("v2"))
+	assert.Assert(t, table.Merge(_start, order(versionAt(t, 3, 7), "v4", 0)))
+	assert.Equal(t, candidate(), config.VersionName("v4"))
+}
+
+// Tables that receive the same orders agree, in whatever sequence these arrive,
+// and no progress is lost.
+func TestOrderTablesAgreeAcrossRestores(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var orders []Order
+		best := Progress{State: Ordered}
+		for era := range uint64(3) {
+			progress := Progress{}
+			for revision := range rapid.Uint64Max(4).Draw(t, "changes") {
+				if next := newProgress(
+					rapid.SampledFrom([]State{Running, Running, Running, Reverted}).Draw(t, "state"),
+					config.Share(rapid.IntRange(0, 4).Draw(t, "share")),
+				); next.isAheadOf(progress) && rapid.Bool().Draw(t, "decided") {
+					progress = next
+				}
+				if progress.State == Reverted {
+					progress.Share = 0
+				}
+				if progress.isAheadOf(best) {
+					best = progress
+				}
+				orders = append(orders, newOrder(versionAt(t, era, revision+1), progress))
+			}
+		}
+		if len(orders) == 0 {
+			return
+		}
+		for range 2 {
+			table := NewOrderTable()
+			for _, o := range rapid.Permutation(orders).Draw(t, "sequence") {
+				table.Merge(_start, o)
+			}
+			o, _, _ := table.Order("desk")
+			assert.Equal(t, o.Revision, orders[len(orders)-1].Revision)
+			assert.Equal(t, o.Progress.State, best.State)
+			assert.Equal(t, o.Progress.Share, best.Share)
+		}
+	})
+}
+
+// An owner that has applied the restored order, but not the last stage, may
+// still take calls of the version before.
+func TestCompleteOnlyAfterProgressIsSavedAgain(t *testing.T) {
+	restored := versionAt(t, 2, 5)
+	active := ActiveOrder{Order: newOrder(restored, newProgress(Running, config.FullShare)), UpdatedAt: _start, StartedAt: _start, Deadline: _start.Add(_duration), IsUnsaved: true}
+	c := NewCoordinator("pilot", active)
+	in := Inputs{Upstreams: []Upstream{{Owner: "old", Version: "v1", ReportedAt: _start, AppliedRevision: restored}}}
+	next, write := c.Decide(_start, active, in)
+	assert.Assert(t, write)
+	assert.Equal(t, next.State, Running)
+	active.Order.Revision, active.Order.Progress, active.IsUnsaved = restored+1, next, false
+	next, _ = c.Decide(_start, active, in)
+	assert.Equal(t, next.State, Running)
+	in.Upstreams[0].AppliedRevision = restored + 1
+	next, write = c.Decide(_start, active, in)
+	assert.Assert(t, write)
+	assert.Equal(t, next.State, Complete)
+}
+
 // A successor takes over when the order was not updated for one timeout, and
 // one more for each successor before it. Other nodes never take over.
 func TestTakeover(t *testing.T) {
--- a/move/order_table.go
+++ b/move/order_table.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lentilferry.example/lentilferry/config"
+	"lentilferry.example/lentilferry/objectstore"
 )
 
 // OrderTable holds the newest known order of each service, and the version that
@@ -25,26 +26,81 @@
 }
 
 // Merge stores an order and reports whether it changed the table. An order
-// whose revision is not above the known one changes nothing.
+// whose revision is not above the known one changes nothing, with one exception:
+// what was decided on a candidate is not lost when the store is restored from a
+// copy. Of two orders for a candidate from different eras, or from a store whose
+// progress is behind, the one with the higher revision is kept with the progress
+// that is ahead.
 func (t *OrderTable) Merge(now time.Time, o Order) bool {
 	o = o.dropForeignProgress()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	old, found := t.orders[o.Service]
-	if found && old.order.Revision >= o.Revision {
-		return false
-	}
 	entry := orderEntry{order: o, updatedAt: now, startedAt: now, deadline: now.Add(o.Progress.Remaining)}
-	if found && old.order.Candidate == o.Candidate && !old.order.Progress.State.Ended() {
-		entry.startedAt, entry.deadline = old.startedAt, old.deadline
+	if old, found := t.orders[o.Service]; found {
+		var changed bool
+		if old.order.Candidate == o.Candidate {
+			changed = entry.joinProgress(old)
+		} else {
+			changed = entry.supersede(old)
+		}
+		if !changed {
+			return false
+		}
 	}
 	t.orders[o.Service] = entry
-	if o.Progress.State == Complete {
+	if entry.order.Progress.State == Complete {
 		t.serving[o.Service] = o.Candidate
 	}
 	return true
 }
 
+// supersede completes the entry of an order that follows an order for another
+// candidate, and reports whether it does. Progress on the candidate before the
+// known one, from a store that was restored since, is that of the copy.
+func (e *orderEntry) supersede(old orderEntry) bool {
+	isRestored := objectstore.EraOf(e.order.Revision) > objectstore.EraOf(old.order.Revision)
+	isCopy := isRestored && e.order.Candidate == old.superseded && e.order.Progress.State != Ordered
+	e.superseded = old.order.Candidate
+	return e.order.Revision > old.order.Revision && !isCopy
+}
+
+// joinProgress completes the entry of an order that was received for the known
+// candidate, and reports whether anything changes.
+func (e *orderEntry) joinProgress(old orderEntry) bool {
+	received := *e
+	era, oldEra := objectstore.EraOf(e.order.Revision), objectstore.EraOf(old.order.Revision)
+	switch {
+	case received.order.Revision > old.order.Revision:
+		isBehind := old.order.Progress.isAheadOf(received.order.Progress) && (era > oldEra || old.isUnsaved)
+		if isBehind {
+			e.order.Progress = old.order.Progress
+		}
+		e.isUnsaved = era > oldEra || isBehind
+	case received.order.Progress.isAheadOf(old.order.Progress) && (era < oldEra || received.order.Revision == old.order.Revision):
+		e.order = old.order
+		e.order.Progress = received.order.Progress
+		e.isUnsaved = true
+	default:
+		return false
+	}
+	e.superseded = old.superseded
+	if !old.order.Progress.State.Ended() {
+		e.startedAt, e.deadline = old.startedAt, old.deadline
+	}
+	return true
+}
+
+// MarkSaved records that the store holds the progress of a service's order at
+// the given revision.
+func (t *OrderTable) MarkSaved(service config.ServiceName, revision uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if entry, ok := t.orders[service]; ok && entry.order.Revision <= revision {
+		entry.isUnsaved = false
+		t.orders[service] = entry
+	}
+}
+
 // Order returns the order of a service and the local time of its last update,
 // and false when there is none.
 func (t *OrderTable) Order(service config.ServiceName) (Order, time.Time, bool) {
@@ -69,24 +125,37 @@
 	return orders
 }
 
-// ActiveOrder is an order that has not ended, and its times on this node's
-// clock.
+// ActiveOrder is an order on which something is left to be done, and its times
+// on this node's clock.
 type ActiveOrder struct {
 	Order Order
 	// UpdatedAt is when this node received the order's last change, StartedAt
 	// when it first received the order, and Deadline when the order must be
 	// complete.
 	UpdatedAt, StartedAt, Deadline time.Time
+	// IsUnsaved is set when the store may lack the order's progress because it
+	// was restored from a copy.
+	IsUnsaved bool
 }
 
 // Active returns the orders that have not ended, sorted by service.
 func (t *OrderTable) Active() []ActiveOrder {
+	return t.selectOrders(func(e orderEntry) bool { return !e.order.Progress.State.Ended() })
+}
+
+// UnsavedEnds returns the orders that have ended and whose end the store may
+// lack, sorted by service.
+func (t *OrderTable) UnsavedEnds() []ActiveOrder {
+	return t.selectOrders(func(e orderEntry) bool { return e.isUnsaved && e.order.Progress.State.Ended() })
+}
+
+func (t *OrderTable) selectOrders(selects func(orderEntry) bool) []ActiveOrder {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	var orders []ActiveOrder
-	for _, entry := range t.orders {
-		if !entry.order.Progress.State.Ended() {
-			orders = append(orders, ActiveOrder{Order: entry.order, UpdatedAt: entry.updatedAt, StartedAt: entry.startedAt, Deadline: entry.deadline})
+	for _, e := range t.orders {
+		if selects(e) {
+			orders = append(orders, ActiveOrder{Order: e.order, UpdatedAt: e.updatedAt, StartedAt: e.startedAt, Deadline: e.deadline, IsUnsaved: e.isUnsaved})
 		}
 	}
 	slices.SortFunc(orders, func(x, y ActiveOrder) int { return cmp.Compare(x.Order.Service, y.Order.Service) })
--- a/node/node.go
+++ b/node/node.go
@@ -505,6 +505,7 @@
 	if n.deps.OrderStore != nil {
 		group.Go(func() error { n.watchOrders(ctx); return nil })
 		loop(_orderInterval, n.stepOrders)
+		loop(_saveEndedInterval, n.saveEndedOrders)
 	}
 	if n.deps.ConfigSource != nil {
 		group.Go(func() error { n.watchConfigSource(ctx); return nil })
--- a/node/orders.go
+++ b/node/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -33,6 +34,9 @@
 	// _orderInterval is the time between a node's steps for orders. It is short
 	// because a bad version must be out of service within seconds.
 	_orderInterval = 400 * time.Millisecond
+	// _saveEndedInterval is the time between a node's attempts to store again
+	// how orders have ended.
+	_saveEndedInterval = time.Second
 	// _roleCoordinator is the role of the coordinator, the node that decides on
 	// an order, followed by the name of the order's service. All nodes must use
 	// the same text to choose the same coordinator.
@@ -110,6 +114,7 @@
 	if !n.orderTable.Merge(now, o) {
 		return false
 	}
+	o, _, _ = n.orderTable.Order(o.Service)
 	p := o.Progress
 	n.deps.Logger.Info("Order updated", "service", o.Service, "candidate", o.Candidate, "revision", o.Revision,
 		"state", p.State.String(), "share", p.Share.Percent(), "pilot", p.Coordinator, "epoch", p.Epoch, "reason", p.Reason)
@@ -159,7 +164,7 @@
 	activeOrders := n.orderTable.Active()
 	ownOrder := ""
 	for _, active := range activeOrders {
-		eligible := membership.RoleHolders(n.members.Members(), _roleCoordinator+string(active.Order.Service), _eligibleCoordinators)
+		eligible := n.eligibleCoordinators(active.Order.Service)
 		if active.Order.Service == n.deps.Upstream.Service {
 			ownOrder = active.Order.ID()
 			n.recorder.SetRollout(ownOrder)
@@ -177,6 +182,46 @@
 	}
 }
 
+// eligibleCoordinators returns the nodes that may coordinate a service's order,
+// the first choice first.
+func (n *Node) eligibleCoordinators(service config.ServiceName) []membership.Member {
+	return membership.RoleHolders(n.members.Members(), _roleCoordinator+string(service), _eligibleCoordinators)
+}
+
+// saveEndedOrders stores how orders have ended once more, if the store lost it
+// when it was restored from a copy and this node is the one to decide on them.
+func (n *Node) saveEndedOrders(ctx context.Context) {
+	for _, ended := range n.orderTable.UnsavedEnds() {
+		if !n.mayDecide(n.deps.Now(), ended, n.eligibleCoordinators(ended.Order.Service)) {
+			continue
+		}
+		service := ended.Order.Service
+		stored, err := n.deps.OrderStore.Read(ctx, service)
+		if err != nil {
+			n.deps.Logger.Info("Order not read", "service", service, "cause", err.Error())
+			continue
+		}
+		n.deps.Logger.Info("Order read back", "service", service, "candidate", stored.Candidate, "revision", stored.Revision,
+			"known", ended.Order.Progress.State.String(), "hasEnded", stored.HasEnded())
+		switch {
+		case stored.ID() != ended.Order.ID():
+			n.mergeOrderAndSync(stored)
+			continue
+		case stored.HasEnded():
+			n.mergeOrderAndSync(stored)
+			n.orderTable.MarkSaved(service, stored.Revision)
+			continue
+		}
+		outcome := n.deps.OrderStore.Save(ctx, stored, ended.Order.Progress)
+		n.deps.Logger.Info("Order end stored again", "service", service, "candidate", stored.Candidate, "revision", stored.Revision,
+			"state", ended.Order.Progress.State.String(), "result", outcome.Result.String())
+		if outcome.Result == objectstore.Written {
+			stored.Revision, stored.Progress = outcome.Version, ended.Order.Progress
+			n.mergeOrderAndSync(stored)
+		}
+	}
+}
+
 // reportTargets returns the nodes to report to: the coordinator while it is
 // heard from, otherwise all nodes eligible for its role.
 func (n *Node) reportTargets(active move.ActiveOrder, eligible []membership.Member) []membership.Member {
@@ -218,18 +263,18 @@
 	}
 }
 
+// mayDecide reports whether this node is the one to decide on an order.
+func (n *Node) mayDecide(now time.Time, active move.ActiveOrder, eligible []membership.Member) bool {
+	rank := slices.IndexFunc(eligible, func(m membership.Member) bool { return m.ID == n.deps.ID })
+	return move.MayDecide(now, n.deps.ID, rank, active)
+}
+
 // decideOrder takes the next step of an order if this node is the one to decide
 // on it.
 func (n *Node) decideOrder(ctx context.Context, active move.ActiveOrder, eligible []membership.Member) {
-	rank := -1
-	for i, m := range eligible {
-		if m.ID == n.deps.ID {
-			rank = i
-		}
-	}
 	now := n.deps.Now()
 	id := active.Order.ID()
-	if !move.MayDecide(now, n.deps.ID, rank, active) {
+	if !n.mayDecide(now, active, eligible) {
 		delete(n.coordinators, id)
 		return
 	}
