node: Write the rosters again after the store was restored

Nodes that started after the store had come back from a copy could find no other node for up to a minute, and served with their own upstream alone.

A zone's roster may be lost with the restore. Relays check the rosters after 1, 2, 4 s and so on up to a minute, and a relay makes no other call that would tell it of the new era.

Each node that sees the store's era rise, the watchers first, now checks its zone's roster at once, and again each second while that fails. Whoever lists the zone first wins, the others find it listed.

--- a/node/source.go
+++ b/node/source.go
@@ -129,23 +129,45 @@
 }
 
 // maintainRosters maintains this zone's roster and contacts unknown members
-// while this node is a relay.
+// while this node is a relay, and whenever the store was restored, which may have
+// lost the roster.
 func (n *Node) maintainRosters(ctx context.Context) {
 	var schedule rosterSchedule
+	var restores restoreDetector
 	// Wait for a random time: of nodes that start together, only one needs to
 	// list itself.
 	sleep(ctx, n.jitter(_minRosterInterval))
+	mayBeLost := false
 	for ctx.Err() == nil {
-		if !n.isRelay() {
-			sleep(ctx, _relayCheckInterval)
-			continue
+		if restores.observe(n.deps.StoreEra) {
+			schedule, mayBeLost = rosterSchedule{}, true
 		}
-		if err := n.maintainRoster(ctx, &schedule); err != nil {
-			n.deps.Logger.Info("Rosters not read", "cause", err.Error())
-			schedule.interval = 0
-			sleep(ctx, _minRosterInterval)
-			continue
+		if mayBeLost || n.isRelay() {
+			if err := n.maintainRoster(ctx, &schedule); err != nil {
+				n.deps.Logger.Info("Rosters not read", "cause", err.Error())
+				schedule = rosterSchedule{}
+			} else {
+				mayBeLost = false
+			}
 		}
-		sleep(ctx, schedule.interval)
+		sleep(ctx, _relayCheckInterval)
+	}
+}
+
+// restoreDetector detects that the platform's store was restored.
+type restoreDetector struct {
+	era   uint64
+	known bool
+}
+
+// observe reports whether the store was restored since the last call; not at the
+// first call at which the era is known.
+func (r *restoreDetector) observe(storeEra func() (uint64, bool)) bool {
+	if storeEra == nil {
+		return false
 	}
+	era, known := storeEra()
+	wasRestored := r.known && era > r.era
+	r.era, r.known = era, known
+	return wasRestored
 }
