call: Accept a refusal without a call ID only on a new connection

What callers saw: reported by another operator: commands that an upstream was running were told 'not run, try again', or ran at a second upstream, after a faulty upstream had written an earlier refusal once more on a kept connection. Cause: a refusal need not echo the call's ID. One without an ID counted as the response to whatever call was in flight on its connection. Class: a response matched to a call by its place alone. Change: Dialect.NamesCall. A response that names no call is accepted only as the first one of its connection, and that connection is not reused. Elsewhere the outcome is unknown and the connection is closed. Why it works: on a new connection no earlier call exists that a refusal could belong to. A refusal with an ID can't meet the same call again: no upstream is tried twice for a call, also when its record changes (routing test extended), and the owner remembers the attempts of commands. Price: a true refusal without an ID on a reused connection is now unknown (502).

--- a/call/cluster_test.go
+++ b/call/cluster_test.go
@@ -25,6 +25,7 @@
 	"lentilferry.example/lentilferry/evidence"
 	"lentilferry.example/lentilferry/identity"
 	"lentilferry.example/lentilferry/membership"
+	"lentilferry.example/lentilferry/platform"
 	"lentilferry.example/lentilferry/retry"
 	"lentilferry.example/lentilferry/routing"
 )
@@ -116,6 +117,23 @@
 	return cluster
 }
 
+// newHostedCluster is like newTestCluster for upstreams and callers of the
+// users' platform. Its upstreams' responses need no length.
+func newHostedCluster(t testing.TB, timeout time.Duration, upstreams ...netip.AddrPort) *testCluster {
+	t.Helper()
+	cluster := newTestCluster(t, timeout)
+	members := make([]membership.Member, 0, len(upstreams))
+	for i, upstream := range upstreams {
+		o := newTestOwnerWith(t, membership.NodeID("node-"+string(rune('a'+i))), upstream, platform.Headers{}, true)
+		cluster.owners = append(cluster.owners, o)
+		members = append(members, o.member)
+	}
+	cluster.pool.Update(members)
+	cluster.ingressDependencies.Dialect = platform.Headers{}
+	cluster.startIngress(t)
+	return cluster
+}
+
 // startIngress starts an ingress with ingressDependencies.
 func (cluster *testCluster) startIngress(t testing.TB) {
 	t.Helper()
@@ -136,24 +154,31 @@
 
 // newTestOwner starts the owner of the upstream at the given address.
 func newTestOwner(t testing.TB, id membership.NodeID, upstream netip.AddrPort) *testOwner {
+	t.Helper()
+	return newTestOwnerWith(t, id, upstream, call.NativeDialect{}, false)
+}
+
+// newTestOwnerWith starts an owner with the given dialect.
+func newTestOwnerWith(t testing.TB, id membership.NodeID, upstream netip.AddrPort, dialect call.Dialect, allowCloseDelimited bool) *testOwner {
 	t.Helper()
 	o := &testOwner{gate: admission.New(admission.DefaultLimits(_testSlots)), observed: &failureCounter{}}
 	o.member = membership.Member{
 		ID: id, Incarnation: 1, State: membership.Serving, Zone: "a", Region: "r",
 		Service: "s", Version: "v1", Slots: _testSlots,
 	}
-	toUpstream := call.NewUpstreamClient(_testSlots, call.NativeDialect{})
+	toUpstream := call.NewUpstreamClient(_testSlots, dialect)
 	t.Cleanup(toUpstream.CloseIdleConnections)
 	o.Owner = call.NewOwner(call.OwnerDependencies{
-		Self:       func() membership.Member { return o.member },
-		Upstream:   upstream,
-		Transport:  toUpstream,
-		Dialect:    call.NativeDialect{},
-		Gate:       o.gate,
-		Identities: identity.New(time.Now(), config.MaxTimeout, 1000),
-		Observer:   o.observed,
-		Metrics:    call.NewMetrics(new(expvar.Map), "owner"),
-		Now:        time.Now,
+		Self:                func() membership.Member { return o.member },
+		Upstream:            upstream,
+		Transport:           toUpstream,
+		Dialect:             dialect,
+		AllowCloseDelimited: allowCloseDelimited,
+		Gate:                o.gate,
+		Identities:          identity.New(time.Now(), config.MaxTimeout, 1000),
+		Observer:            o.observed,
+		Metrics:             call.NewMetrics(new(expvar.Map), "owner"),
+		Now:                 time.Now,
 	})
 	server := httptest.NewServer(o)
 	t.Cleanup(server.Close)
--- a/call/dialect.go
+++ b/call/dialect.go
@@ -30,6 +30,9 @@
 	// IsResponseTo reports whether a response belongs to the request with the
 	// given headers. It returns true where upstreams don't echo call IDs.
 	IsResponseTo(request, response http.Header, status int) bool
+	// NamesCall reports whether a response says which call it belongs to. It
+	// returns true where upstreams don't echo call IDs.
+	NamesCall(response http.Header) bool
 	// IsInternal reports whether a header is removed from callers' requests.
 	IsInternal(name string) bool
 }
@@ -87,6 +90,9 @@
 // IsResponseTo returns true: upstreams that use this dialect echo no call ID.
 func (NativeDialect) IsResponseTo(_, _ http.Header, _ int) bool { return true }
 
+// NamesCall returns true: upstreams that use this dialect echo no call ID.
+func (NativeDialect) NamesCall(http.Header) bool { return true }
+
 // IsInternal reports whether a header is one of Lentilferry's own.
 func (NativeDialect) IsInternal(name string) bool {
 	return strings.HasPrefix(name, headerPrefix)
--- a/call/upstream_client.go
+++ b/call/upstream_client.go
@@ -43,13 +43,17 @@
 // in place of the one that a call waited for.
 var errStrayResponses = errors.New("upstream connection delivers responses to other calls")
 
+// errUnnamedResponse means that a connection which has carried other responses
+// delivered one that names no call.
+var errUnnamedResponse = errors.New("upstream response names no call and may belong to an earlier one")
+
 // UpstreamClient sends calls to one upstream over HTTP/1.1, one at a time on
 // each connection. Unlike http.Transport it never retries a call, aborts a call
 // at once when its context ends, and discards responses that belong to other
 // calls.
 type UpstreamClient struct {
-	isResponseTo func(request, response http.Header, status int) bool
-	dialer       *net.Dialer
+	dialect Dialect
+	dialer  *net.Dialer
 	// maxIdle bounds the idle connections.
 	maxIdle int
 
@@ -67,9 +71,9 @@
 // NewUpstreamClient returns a client that keeps up to maxIdle idle connections.
 func NewUpstreamClient(maxIdle int, dialect Dialect) *UpstreamClient {
 	return &UpstreamClient{
-		isResponseTo: dialect.IsResponseTo,
-		dialer:       dial.New(_upstreamDialTimeout),
-		maxIdle:      maxIdle,
+		dialect: dialect,
+		dialer:  dial.New(_upstreamDialTimeout),
+		maxIdle: maxIdle,
 	}
 }
 
@@ -107,6 +111,9 @@
 	limiter *headerLimiter
 	reader  *bufio.Reader
 	writer  *bufio.Writer
+	// hasResponded is set once the connection has delivered a response. A later
+	// one that names no call may belong to an earlier call.
+	hasResponded bool
 	// idleDeadline is the time until which the idle connection may be reused.
 	idleDeadline time.Time
 }
@@ -175,7 +182,8 @@
 }
 
 // receive reads the response to the request. It skips informational responses
-// and those to other calls.
+// and those to other calls. A response that names no call is accepted only as
+// the connection's first.
 func (c *UpstreamClient) receive(conn *upstreamConn, request *http.Request) (*http.Response, error) {
 	for range _maxStrayResponses {
 		response, err := conn.readHeader(request)
@@ -185,7 +193,12 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if c.isResponseTo(request.Header, response.Header, response.StatusCode) {
+		isFirst := !conn.hasResponded
+		conn.hasResponded = true
+		if !isFirst && !c.dialect.NamesCall(response.Header) {
+			return nil, errUnnamedResponse
+		}
+		if c.dialect.IsResponseTo(request.Header, response.Header, response.StatusCode) {
 			return response, nil
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, _maxStrayBodyBytes))
@@ -276,12 +289,13 @@
 }
 
 // putIdle adds a connection whose call has ended to the idle connections, or
-// closes it if it can't be reused.
+// closes it if it can't be reused. A copy of a response that names no call would
+// be taken for the next call's, so its connection isn't reused.
 func (c *UpstreamClient) putIdle(conn *upstreamConn, response *http.Response) {
 	idle := idleTimeout(response.Header)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || response.Close || idle <= 0 || conn.reader.Buffered() > 0 || len(c.idle) >= c.maxIdle {
+	if c.closed || response.Close || !c.dialect.NamesCall(response.Header) || idle <= 0 || conn.reader.Buffered() > 0 || len(c.idle) >= c.maxIdle {
 		_ = conn.Close()
 		return
 	}
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -239,6 +239,15 @@
 	assert.Equal(t, e.Member.ID, membership.NodeID("a1"))
 	_, ok = p.Choose(_start, Query{Service: "s", Versions: _v1, Tried: []*Endpoint{e}})
 	assert.Assert(t, !ok)
+	// Nor after its record has changed, which replaces its endpoint.
+	suspected := newMember(1, "a", "r1")
+	suspected.Suspected = true
+	p.Update([]membership.Member{draining, suspected})
+	_, ok = p.Choose(_start, Query{Service: "s", Versions: _v1, Tried: []*Endpoint{e}})
+	assert.Assert(t, !ok)
+	p.Update([]membership.Member{draining, newMember(1, "a", "r1")})
+	e, ok = p.Choose(_start, _query)
+	assert.Assert(t, ok)
 	// An update keeps the endpoint of an unchanged upstream with its state.
 	e.Begin()
 	p.Update([]membership.Member{draining, newMember(1, "a", "r1")})
