call: Refuse an owner's response that has no length

What callers saw: reported by another operator: a 200 with an empty or short body, framed as whole, after an upstream had stopped in the middle of its response's headers. Cause: the ingress took such a response from another node's address. Our owners always give a length or chunks, so only another program there can send one. Class: a response whose end can't be told taken for a whole one. Change: without a length or chunks, a response of an owner is unknown. Remains: where an upstream of the users' platform ends an answer without length by closing its connection, an early end can't be told from the real one; a reset can.

--- a/call/ingress_call.go
+++ b/call/ingress_call.go
@@ -207,28 +207,34 @@
 	out.Header[headerCall] = []string{forwarded.String()}
 	out.Header[HeaderRemaining] = []string{formatMillis(remaining)}
 	response, err := deps.Transport.RoundTrip(out)
-	if err == nil {
-		err = bufferResponse(response)
-	}
 	if err != nil {
-		result := classifyFailure(ctx, &tracker)
-		switch result.Reason {
-		case ReasonCanceled:
-		case ReasonUnreachable:
-			endpoint.RecordConnectFailure(deps.Now())
-		default:
-			endpoint.RecordFailure(deps.Now())
-		}
-		return nil, result
+		return nil, c.recordForwardFailure(ctx, endpoint, &tracker)
 	}
 	result, isRefused := parseRefusal(response)
-	c.updateEndpoint(endpoint, response, result)
 	if isRefused {
 		_ = response.Body.Close()
+	} else if err := bufferResponse(response); err != nil {
+		return nil, c.recordForwardFailure(ctx, endpoint, &tracker)
 	}
+	c.updateEndpoint(endpoint, response, result)
 	return response, result
 }
 
+// recordForwardFailure records that another node gave no complete response, and
+// returns the result of the attempt.
+func (c *ingressCall) recordForwardFailure(ctx context.Context, endpoint *routing.Endpoint, tracker *writeTracker) Result {
+	result := classifyFailure(ctx, tracker)
+	now := c.ingress.deps.Now()
+	switch result.Reason {
+	case ReasonCanceled:
+	case ReasonUnreachable:
+		endpoint.RecordConnectFailure(now)
+	default:
+		endpoint.RecordFailure(now)
+	}
+	return result
+}
+
 // newForwardedCall returns what the owner is told about the call.
 func (c *ingressCall) newForwardedCall(endpoint *routing.Endpoint, attempt int) forwardedCall {
 	route := c.target.Route
--- a/call/ingress_result.go
+++ b/call/ingress_result.go
@@ -29,7 +29,8 @@
 }
 
 // parseRefusal returns the result that an owner sent in place of an upstream's
-// response. For an upstream's response it returns Answered and false.
+// response. For an upstream's response it returns Answered and false. Owners
+// always delimit responses; of one that isn't, the end may be missing.
 func parseRefusal(response *http.Response) (Result, bool) {
 	result := Result{Outcome: Answered}
 	switch response.Header.Get(HeaderOutcome) {
@@ -38,6 +39,9 @@
 	case Unknown.String():
 		result.Outcome = Unknown
 	default:
+		if !isSelfDelimiting(response) {
+			return Result{Outcome: Unknown, Reason: ReasonCloseDelimited}, true
+		}
 		return result, false
 	}
 	result.Reason = Reason(response.Header.Get(HeaderReason))
