wire: Leave out member records without an address and port

What callers saw: nothing yet; found while another operator's report of one odd entry among many was traced. Cause: DecodeMember promised to refuse a record without a valid peer address, but an encoded address of no IP address, or with the port 0, passed. Class: unchecked input; the record would be an upstream that can't be called. Change: both count as malformed. The well-formed record of TestMalformedMembersAreLeftOut had no address, against the function's promise; it has one now, as have the others, each of which lacks just one thing, and a fifth lacks the address. Measured: the tests of wire, membership and peer pass.

--- a/commands/commands_test.go
+++ b/commands/commands_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -61,7 +62,7 @@
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
 	n := &fakeNode{platform: fakeplatform.New(), holder: revision.NewHolder()}
-	self := membership.Member{ID: "n1", Incarnation: 1, State: membership.Serving, Zone: "a", Service: "desk", Version: "v1", Slots: 4}
+	self := membership.Member{ID: "n1", Incarnation: 1, State: membership.Serving, Zone: "a", Service: "desk", Version: "v1", Slots: 4, PeerAddress: netip.MustParseAddrPort("10.0.0.1:7102")}
 	n.table = membership.New(membership.DefaultTiming(), self, rand.New(rand.NewPCG(1, 1)), time.Now())
 	candidate := self
 	candidate.ID, candidate.Version = "n2", "v2"
--- a/wire/member.go
+++ b/wire/member.go
@@ -41,6 +41,9 @@
 	if err := peer.UnmarshalBinary(message.GetPeer()); err != nil {
 		return membership.Member{}, errors.Mark(errors.Wrapf(err, "decode peer address of member %q", message.GetId()), ErrMalformed)
 	}
+	if !peer.IsValid() || peer.Port() == 0 {
+		return membership.Member{}, errors.Wrapf(ErrMalformed, "member %q has no address and port", message.GetId())
+	}
 	state := membership.State(message.GetState())
 	if message.GetId() == "" || message.GetZone() == "" || state < membership.Starting || state > membership.Failed {
 		return membership.Member{}, errors.Wrapf(ErrMalformed, "member %q of zone %q lacks a field or has an unknown state", message.GetId(), message.GetZone())
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -1,6 +1,7 @@
 package wire_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -64,8 +65,15 @@
 }
 
 func TestMalformedMembersAreLeftOut(t *testing.T) {
-	wellFormed := membership.Member{ID: "n", Zone: "a", State: membership.Serving, Slots: 3, Revision: 4, Suspected: true, LastDeparture: membership.Departure{Process: "u", Incarnation: 9}}
-	messages := wire.EncodeMembers([]membership.Member{wellFormed, {Zone: "a", State: membership.Serving}, {ID: "n", State: membership.Serving}, {ID: "n", Zone: "a"}})
+	address := netip.MustParseAddrPort("10.0.0.7:8080")
+	wellFormed := membership.Member{ID: "n", Zone: "a", PeerAddress: address, State: membership.Serving, Slots: 3, Revision: 4, Suspected: true, LastDeparture: membership.Departure{Process: "u", Incarnation: 9}}
+	messages := wire.EncodeMembers([]membership.Member{
+		wellFormed,
+		{Zone: "a", PeerAddress: address, State: membership.Serving},
+		{ID: "n", PeerAddress: address, State: membership.Serving},
+		{ID: "n", Zone: "a", PeerAddress: address},
+		{ID: "n", Zone: "a", State: membership.Serving},
+	})
 	assert.Assert(t, cmp.DeepEqual(wire.DecodeMembers(messages)[0].Slots, wellFormed.Slots))
 	assert.Equal(t, len(wire.DecodeMembers(messages)), 1)
 }
