node: Send what a stopping node has answered

Cause: a stop waited for the handlers of calls. A server sends the end of an answer after its handler has returned, and reports a request after it has read its headers. All servers together then had 200 ms to shut down, whatever was left of the drain timeout, and http.Server.Shutdown closes from another goroutine what it holds for idle. Calls were also counted after the check whether the node refuses them, so that one in between was not waited for.

Evidence: with writes that take 400 ms, TestStopSendsAnswersOfSlowNode failed with status 0 for a call that had run; with reads that take 300 ms, TestStopAnswersCallsReadLate failed with status 0, 250 ms after the stop. Both pass, five times with the race detector beside TestPlannedStop.

Change: the connections of callers and of other nodes are tracked from when they are accepted until the server has closed them. A stop ends those that are not in use by their readers, as for idle ones, and goes on when none is left or the drain timeout is over.

--- a/call/ingress.go
+++ b/call/ingress.go
@@ -111,12 +111,13 @@
 	if i.keepAlivesDisabled.Load() && r.ProtoMajor == 1 {
 		w.Header().Set("Connection", "close")
 	}
+	// Counts the call first, so that Wait misses none that was not refused.
+	i.inFlight.Add(1)
+	defer i.inFlight.Done()
 	if i.stopped.Load() {
 		i.refuse(w, r, Reason(admission.ReasonDraining))
 		return
 	}
-	i.inFlight.Add(1)
-	defer i.inFlight.Done()
 	now := i.deps.Now()
 	a, reason := i.accept(r)
 	if reason != "" {
--- a/node/idle_test.go
+++ b/node/caller_conns_test.go
@@ -14,9 +14,9 @@
 	"lentilferry.example/lentilferry/common/socket"
 )
 
-// idleServer serves callers whose idle connections an idleConns closes.
+// idleServer serves callers whose idle connections an callerConns closes.
 type idleServer struct {
-	conns *idleConns
+	conns *callerConns
 	now   time.Time
 	// states gets each state of a connection after it was tracked.
 	states chan http.ConnState
@@ -28,7 +28,7 @@
 // hook runs before a state is tracked.
 func newIdleServer(t *testing.T, hook func(s *idleServer, state http.ConnState)) *idleServer {
 	t.Helper()
-	s := &idleServer{conns: newIdleConns(), now: time.Unix(1_800_000_000, 0), states: make(chan http.ConnState, 32)}
+	s := &idleServer{conns: newCallerConns(), now: time.Unix(1_800_000_000, 0), states: make(chan http.ConnState, 32)}
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(w, r.Body)
 	}))
@@ -123,7 +123,7 @@
 // A request that the server has not read yet when its idle connection expires is
 // answered.
 func TestRequestUnreadAtIdleCloseIsAnswered(t *testing.T) {
-	conns, now := newIdleConns(), time.Unix(1_800_000_000, 0)
+	conns, now := newCallerConns(), time.Unix(1_800_000_000, 0)
 	server, caller := connectTCP(t)
 	conns.trackState(now, server, http.StateIdle)
 	_, err := io.WriteString(caller, "GET / HTTP/1.1\r\n\r\n")
--- a/node/node.go
+++ b/node/node.go
@@ -235,8 +235,9 @@
 	// node decides on, by order ID. Only stepOrders uses them.
 	coordinators   map[string]*move.Coordinator
 	orderDetectors map[string]*evidence.Detector
-	// callerConns tracks the idle connections of callers.
-	callerConns *idleConns
+	// callerConns and peerConns track the connections of callers and of other
+	// nodes.
+	callerConns, peerConns *callerConns
 	// broadcasts queues the updates to send to other members without waiting
 	// for gossip.
 	broadcasts    *membership.BroadcastQueue
@@ -295,7 +296,8 @@
 		orderTable:       move.NewOrderTable(),
 		coordinators:     make(map[string]*move.Coordinator),
 		orderDetectors:   make(map[string]*evidence.Detector),
-		callerConns:      newIdleConns(),
+		callerConns:      newCallerConns(),
+		peerConns:        newCallerConns(),
 		broadcasts:       membership.NewBroadcastQueue(),
 		startedAt:        now,
 		stopRequested:    make(chan struct{}),
--- a/node/node_integration_test.go
+++ b/node/node_integration_test.go
@@ -48,10 +48,12 @@
 
 // cluster is a set of nodes on a fake platform.
 type cluster struct {
-	t        *testing.T
-	platform *fakeplatform.Platform
-	base     *url.URL
-	nodes    map[string]*testNode
+	// slowCalls delays the connections of callers; nil for none.
+	slowCalls *delays
+	t         *testing.T
+	platform  *fakeplatform.Platform
+	base      *url.URL
+	nodes     map[string]*testNode
 }
 
 // testNode is a running node and its upstream.
@@ -106,6 +108,9 @@
 		assert.NilError(c.t, err)
 		*target = listener
 	}
+	if c.slowCalls != nil {
+		l.Calls = slowListener{l.Calls, c.slowCalls}
+	}
 	transport := &http.Transport{}
 	timing := node.DefaultTiming()
 	timing.GossipInterval, timing.ZoneGossipInterval, timing.HealthCheckInterval, timing.ControlInterval = 50*time.Millisecond, 100*time.Millisecond, 50*time.Millisecond, 100*time.Millisecond
--- a/node/servers.go
+++ b/node/servers.go
@@ -29,6 +29,7 @@
 	calls := n.newServer(n.ingress)
 	calls.ConnState = func(conn net.Conn, state http.ConnState) { n.callerConns.trackState(n.deps.Now(), conn, state) }
 	peers := n.newServer(n.peerHandler())
+	peers.ConnState = func(conn net.Conn, state http.ConnState) { n.peerConns.trackState(n.deps.Now(), conn, state) }
 	peers.ConnContext = meter.ConnContext
 	admin := n.newServer(n.adminHandler())
 	const ownSockets = 3
@@ -170,13 +171,13 @@
 // drain takes the node out of service. It reports the node as not ready and
 // closes callers' connections after their next response, so that they connect
 // to other nodes; near the end of Timing.LeaveNotice it tells peers to send no
-// more calls. After LeaveNotice it refuses new calls as not run, waits for
-// in-flight calls, and releases the controller's lease. Timing.DrainTimeout
-// counts from the start of the drain.
+// more calls. After LeaveNotice it refuses new calls as not run, waits until
+// in-flight calls have ended and their responses were sent, and releases the
+// controller's lease. Timing.DrainTimeout counts from the start of the drain.
 func (n *Node) drain(ctx context.Context) {
 	n.deps.Logger.Info("Draining", "node", n.deps.ID)
-	timeout := time.NewTimer(n.deps.Timing.DrainTimeout)
-	defer timeout.Stop()
+	drainCtx, cancel := context.WithTimeout(ctx, n.deps.Timing.DrainTimeout)
+	defer cancel()
 	noticeOver := time.After(n.deps.Timing.LeaveNotice)
 	n.stopping.Store(true)
 	n.ingress.DisableKeepAlives()
@@ -191,10 +192,13 @@
 		defer close(finished)
 		n.owner.Wait()
 		n.ingress.Wait()
+		// A server sends the end of a response after its handler has returned.
+		n.callerConns.drain(drainCtx)
+		n.peerConns.drain(drainCtx)
 	}()
 	select {
 	case <-finished:
-	case <-timeout.C:
+	case <-drainCtx.Done():
 		n.deps.Logger.Info("Drain timed out, interrupting in-flight calls", "node", n.deps.ID)
 	}
 	n.controller.Stop(ctx)
