call: Close a connection whose request body doesn't end

Cause: an answer that comes before the end of a long or chunked body leaves the rest to be discarded, for a second and 256 KB. If the rest came later, the server kept the connection all the same and read the rest as the next request. With the owner on the caller's node it was also sent, on a connection of the upstream that happened to be idle, although its deadline had passed.

Evidence: TestRestOfSlowBodyIsNoRequest failed with 'the rest of the body was answered', between two nodes and on one. It passes now, and TestConnectionIsKeptAfterWholeChunkedBody and TestRequestEndsAfterResponse show that connections whose bodies end are kept.

Change: if the end of the body doesn't arrive, the connection is closed after the answer, with the server's usual wait for the caller to read it. A call whose context has ended takes no connection to the upstream.

--- a/call/body.go
+++ b/call/body.go
@@ -186,21 +186,32 @@
 	_ = http.NewResponseController(w).EnableFullDuplex()
 }
 
-// drainRequest discards the rest of a request body in full-duplex mode. Without
-// it, the server may read the connection from two goroutines at once when a
-// handler returns before it has read the body to its end.
+// drainRequest discards the rest of a request body in full-duplex mode, and has
+// the connection closed if its end doesn't arrive. Without it, the server may
+// read the connection from two goroutines at once when a handler returns before
+// it has read the body to its end, or take what arrives later for a request.
 func drainRequest(w http.ResponseWriter, r *http.Request) {
 	if r.ProtoMajor != 1 {
 		return
 	}
 	controller := http.NewResponseController(w)
 	if controller.Flush() != nil || controller.SetReadDeadline(time.Now().Add(_drainTimeout)) != nil {
+		closeAfterResponse(w)
 		return
 	}
-	_, err := io.CopyN(io.Discard, r.Body, _maxDrainBytes)
-	if errors.Is(err, io.EOF) {
+	if _, err := io.CopyN(io.Discard, r.Body, _maxDrainBytes); errors.Is(err, io.EOF) {
 		_ = controller.SetReadDeadline(time.Time{})
+		return
 	}
+	closeAfterResponse(w)
+}
+
+// closeAfterResponse makes the server close the connection after the response,
+// and wait a little before it, so that the caller can read the response. That is
+// what a body over the limit of http.MaxBytesReader does.
+func closeAfterResponse(w http.ResponseWriter) {
+	tooLong := http.MaxBytesReader(w, io.NopCloser(strings.NewReader("x")), 0)
+	_, _ = tooLong.Read(make([]byte, 1))
 }
 
 // _copyBufferPool holds *[]byte buffers for copyBody.
--- a/call/upstream_client.go
+++ b/call/upstream_client.go
@@ -140,6 +140,9 @@
 // An error doesn't tell whether the call was run.
 func (c *UpstreamClient) RoundTrip(request *http.Request) (*http.Response, error) {
 	ctx := request.Context()
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
 	conn, reused, err := c.acquireConn(ctx, request.URL.Host)
 	if err != nil {
 		return nil, err
