call: Bound a body without touching its response

Cause: http.MaxBytesReader sets a header of the response at the limit. The body is read by the goroutine that sends it to the upstream, while the handler writes the same headers. Go ends a process that does so in the same moment.

Change: the node's own limited body only counts. What is over the limit ends the call as before, with 502 after a part was sent, and closes the connection.

--- a/call/ingress.go
+++ b/call/ingress.go
@@ -127,7 +127,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), now.Add(a.remaining))
 	defer cancel()
 	if a.maxBodyBytes > 0 && r.ContentLength < 0 {
-		r.Body = http.MaxBytesReader(w, r.Body, a.maxBodyBytes)
+		r.Body = newLimitedBody(r.Body, a.maxBodyBytes)
 	}
 	c := i.newCall(now, w, r, a)
 	setReadDeadline(w, r, c.deadline)
