move: Keep the later coordinator when the store is restored

Seen: none by callers so far; shown by a review of the restored store. After a restore whose copy has the same state and share of an order, but from before a change of the coordinator, no node decided on the order for 3.5 to 7 s. A bad version stays in service for as long.

Cause: of two decisions with the same state and share none counted as ahead, so that the table took the copy's coordinator, which may be the one that had died. The epoch, which says who decided later, was not compared.

Evidence: TestCoordinatorStaysAfterRestore, on the code before: "assertion failed: first (active.Order.Progress.Coordinator) != second".

Change: with the same state and share, the decision with the higher epoch is ahead.

Measured: the test and those of the package pass, with the race detector.

--- a/move/move.go
+++ b/move/move.go
@@ -66,14 +66,17 @@
 }
 
 // isAheadOf reports whether p is a later decision than q on the same candidate.
+// With the same share, the later coordinator's is.
 func (p Progress) isAheadOf(q Progress) bool {
 	switch {
 	case q.State.Ended():
 		return false
 	case p.State.Ended():
 		return true
-	default:
+	case p.State != q.State || p.Share != q.Share:
 		return p.State == Running && (q.State != Running || p.Share > q.Share)
+	default:
+		return p.Epoch > q.Epoch
 	}
 }
 
--- a/move/move_test.go
+++ b/move/move_test.go
@@ -213,6 +213,22 @@
 	assert.Equal(t, next.State, Complete)
 }
 
+func TestCoordinatorStaysAfterRestore(t *testing.T) {
+	progress := func(coordinator membership.NodeID, epoch uint64) Progress {
+		p := newProgress(Running, 1500)
+		p.Coordinator, p.Epoch = coordinator, epoch
+		return p
+	}
+	table := NewOrderTable()
+	table.Merge(_start, newOrder(versionAt(t, 1, 9), progress("second", 2)))
+	table.Merge(_start, newOrder(versionAt(t, 2, 5), progress("first", 1)))
+	active := table.Active()[0]
+	assert.Equal(t, active.Order.Progress.Coordinator, membership.NodeID("second"))
+	assert.Equal(t, active.Order.Progress.Epoch, uint64(2))
+	assert.Assert(t, active.IsUnsaved)
+	assert.Assert(t, MayDecide(_start, "second", 0, active))
+}
+
 // A successor takes over when the order was not updated for one timeout, and
 // one more for each successor before it. Other nodes never take over.
 func TestTakeover(t *testing.T) {
