control, node: Refuse changes where the platform has the configuration

Seen: shown by a review. An operator who runs 'lentilferry config apply' at a node of the users' platform gets 'Accepted as revision ...'; the next configuration that is written to the platform is then refused as stale on all nodes, for good.

Cause: the operator API commits the number of the configuration in force plus one. That number is now the platform's base plus the operator's version, so that the commit takes the number of the operator's next version. Before, such a commit was replaced by the next change of the store, which had been no way to manage the nodes either.

Evidence: TestHostedOperatorAPIRefusesChanges, on the code before: Apply returned no error, then "not met within 30s: all nodes have the operator's next version".

Reading (status, members, config get and diff) goes on as before.

Measured: the test passes on the fixed code, as does TestChangesAreRefusedWhereThePlatformHasTheConfiguration for the five commands.

--- a/commands/commands_test.go
+++ b/commands/commands_test.go
@@ -106,6 +106,26 @@
 	return out
 }
 
+func TestChangesAreRefusedWhereThePlatformHasTheConfiguration(t *testing.T) {
+	f := newFixture(t)
+	mesh := filepath.Join(f.dir, "mesh.yaml")
+	f.expect(ExitOK, "Accepted as revision 1", "config", "apply", mesh)
+	f.node.operations = control.NewOperations(control.OperationsDependencies{
+		Platform: f.node.platform, Committer: revision.NewCommitter(f.node.platform, wire.Codec{}, f.node.holder),
+		Codec: wire.Codec{}, Holder: f.node.holder, Members: f.node.table, IsManagedElsewhere: true, Now: time.Now,
+	})
+	for _, args := range [][]string{
+		{"config", "apply", mesh},
+		{"plan", "--service", "desk", "--to", "v2", "--by", "1h"},
+		{"confirm", "desk.1"},
+		{"reject", "desk.1"},
+		{"rollback", "desk.1"},
+	} {
+		f.expect(ExitRefused, "operators write the configuration and the orders to the users' platform", args...)
+	}
+	f.expect(ExitOK, "pathPrefix: /", "config", "get")
+}
+
 // From the first configuration to the rollback of a rollout, each command is
 // accepted or refused according to the current state, with its exit code.
 func TestRolloutLifecycle(t *testing.T) {
--- a/control/operations.go
+++ b/control/operations.go
@@ -20,6 +20,10 @@
 	Members() []membership.Member
 }
 
+// ErrNotManaged means that the configuration and the orders are not managed
+// through these operations, because operators write them to the users' platform.
+var ErrNotManaged = errors.New("operators write the configuration and the orders to the users' platform")
+
 // OperationsDependencies are what Operations are built from.
 type OperationsDependencies struct {
 	Platform  Platform
@@ -27,7 +31,11 @@
 	Codec     revision.Codec
 	Holder    *revision.Holder
 	Members   Members
-	Now       func() time.Time
+	// IsManagedElsewhere is set if operators write the configuration and the
+	// orders to the users' platform. All changes are then refused with
+	// ErrNotManaged.
+	IsManagedElsewhere bool
+	Now                func() time.Time
 }
 
 // Operations carries out operators' requests. Each request has an operation ID
@@ -56,6 +64,14 @@
 // with other writes.
 const _maxAttempts = 5
 
+// checkManaged returns ErrNotManaged if changes are made elsewhere.
+func (o *Operations) checkManaged() error {
+	if o.deps.IsManagedElsewhere {
+		return errors.Wrap(ErrNotManaged, "nothing was changed; write the change there, a configuration under a higher version")
+	}
+	return nil
+}
+
 // readHead reads the newest committed configuration from the platform.
 func (o *Operations) readHead(ctx context.Context) (*revision.Snapshot, error) {
 	object, err := o.deps.Platform.Get(ctx, revision.HeadKey)
@@ -67,9 +83,12 @@
 }
 
 // Plan plans a rollout for an intent and stores it. The plan then waits for
-// confirmation. The error is rollout.ErrInfeasible, rollout.ErrState or one of
-// the platform's.
+// confirmation. The error is ErrNotManaged, rollout.ErrInfeasible,
+// rollout.ErrState or one of the platform's.
 func (o *Operations) Plan(ctx context.Context, intent rollout.Intent) (rollout.Rollout, error) {
+	if err := o.checkManaged(); err != nil {
+		return rollout.Rollout{}, err
+	}
 	for range _maxAttempts {
 		r, err := o.plan(ctx, intent)
 		if !errors.Is(err, objectstore.ErrConflict) {
@@ -155,8 +174,8 @@
 	return zones
 }
 
-// Confirm starts a planned rollout. The error is rollout.ErrState,
-// rollout.ErrOutdated or one of the platform's.
+// Confirm starts a planned rollout. The error is ErrNotManaged,
+// rollout.ErrState, rollout.ErrOutdated or one of the platform's.
 func (o *Operations) Confirm(ctx context.Context, a Action) (rollout.Rollout, error) {
 	return o.updateRollout(ctx, a, func(ctx context.Context, now time.Time, r *rollout.Rollout) error {
 		current, err := o.readHead(ctx)
@@ -193,6 +212,9 @@
 // from the stored state when another write came first. An action that was
 // already applied changes nothing.
 func (o *Operations) updateRollout(ctx context.Context, a Action, apply transition) (rollout.Rollout, error) {
+	if err := o.checkManaged(); err != nil {
+		return rollout.Rollout{}, err
+	}
 	service := serviceOfRollout(a.ID)
 	for range _maxAttempts {
 		last, err := o.store.load(ctx, service)
@@ -231,12 +253,15 @@
 
 // Apply commits a configuration document. It is parsed with reference to the
 // configuration that it replaces, from which versions keep their shares. With
-// dryRun nothing is committed. The error is ErrUnresolved when the document may
-// have been committed.
+// dryRun nothing is committed. The error is ErrNotManaged, or ErrUnresolved when
+// the document may have been committed.
 func (o *Operations) Apply(ctx context.Context, document []byte, operator, operation string, dryRun bool) (ApplyResult, error) {
 	if dryRun {
 		return o.dryRun(ctx, document)
 	}
+	if err := o.checkManaged(); err != nil {
+		return ApplyResult{}, err
+	}
 	var changes []ConfigChange
 	outcome := o.deps.Committer.Commit(ctx, o.deps.Now(), revision.CommitRequest{
 		Operation: operation,
--- a/node/hosted_integration_test.go
+++ b/node/hosted_integration_test.go
@@ -15,16 +15,19 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 	"k8s.io/klog/v2"
 
 	"lentilferry.example/lentilferry/config"
+	"lentilferry.example/lentilferry/control"
 	"lentilferry.example/lentilferry/internal/fakes/fakestore"
 	"lentilferry.example/lentilferry/lease"
 	"lentilferry.example/lentilferry/membership"
 	"lentilferry.example/lentilferry/node"
 	"lentilferry.example/lentilferry/platform"
+	"lentilferry.example/lentilferry/rollout"
 	"lentilferry.example/lentilferry/upstream"
 	"lentilferry.example/lentilferry/wire"
 )
@@ -534,6 +537,30 @@
 	assert.Assert(t, time.Since(changed) < 2500*time.Millisecond, "took %s", time.Since(changed))
 }
 
+func TestHostedOperatorAPIRefusesChanges(t *testing.T) {
+	c := newHostedCluster(t, "v1", "v1")
+	c.callUntil("all serve", c.serving(2))
+	operations := c.nodes[0].Operations()
+	ctx := context.Background()
+	document, err := config.FormatYAML(c.nodes[0].Holder().Current().Config)
+	assert.NilError(t, err)
+	_, err = operations.Apply(ctx, append(document, '\n'), "op", "o1", false)
+	assert.Check(t, errors.Is(err, control.ErrNotManaged), "%v", err)
+	_, err = operations.Plan(ctx, rollout.Intent{Service: "desk", Version: "v2", Operator: "op", Operation: "o2"})
+	assert.Check(t, errors.Is(err, control.ErrNotManaged), "%v", err)
+	_, err = operations.Rollback(ctx, control.Action{ID: "desk.1", Operator: "op", Operation: "o3"})
+	assert.Check(t, errors.Is(err, control.ErrNotManaged), "%v", err)
+	c.configure(2, `,{"name":"slips","path-prefix":"/slips/","kind":"idempotent","timeout":"2s","service":"desk","attempts":2}`)
+	c.callUntil("all nodes have the operator's next version", func() bool {
+		for _, n := range c.nodes {
+			if c.call(n, "/slips/1") != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // orderState returns the state that the store has for the order of the service.
 func (c *hostedCluster) orderState() string {
 	object, _ := c.store.Get("rollouts", "desk")
--- a/node/node.go
+++ b/node/node.go
@@ -402,6 +402,8 @@
 		Holder:    n.holder,
 		Members:   n.members,
 		Now:       n.deps.Now,
+
+		IsManagedElsewhere: n.deps.ConfigSource != nil,
 	})
 	n.controller = control.NewController(control.ControllerDependencies{
 		Name:        n.members.Self().Instance(),
--- a/operator/server.go
+++ b/operator/server.go
@@ -57,7 +57,7 @@
 		code = connect.CodeInvalidArgument
 	case errors.Is(err, control.ErrUnresolved):
 		code = connect.CodeUnknown
-	case errors.Is(err, rollout.ErrInfeasible), errors.Is(err, rollout.ErrOutdated):
+	case errors.Is(err, rollout.ErrInfeasible), errors.Is(err, rollout.ErrOutdated), errors.Is(err, control.ErrNotManaged):
 		code = connect.CodeFailedPrecondition
 	case errors.Is(err, rollout.ErrState), errors.Is(err, objectstore.ErrConflict):
 		code = connect.CodeAborted
