move: Keep progress in the same era only if the store was seen behind

After a restore a node holds the progress of an order for unsaved until it is stored under a higher revision. If the store has the end already, nothing is stored, and nodes that don't decide never drop the flag. When the same order is deleted and created again later, even an hour later, such nodes take the new order as ended at once and pass that on.

Cause: one flag stood for two things: that the store may lack the progress, so that the one who decides checks it, and that the store was seen with less progress, so that less progress in the same era is no news. Only the second may outweigh a newer revision.

Change: the table notes separately that it has seen the store behind. The first flag is kept for an order received at the new era's revision: another node may have passed on progress that it had kept.

--- a/move/move.go
+++ b/move/move.go
@@ -125,6 +125,9 @@
 	// isUnsaved is set when the store may lack the order's progress because it
 	// was restored from a copy.
 	isUnsaved bool
+	// isStoreBehind is set when this node has seen the order with less progress
+	// at its revision. It implies isUnsaved.
+	isStoreBehind bool
 	// superseded is the candidate of the order before.
 	superseded config.VersionName
 }
--- a/move/move_test.go
+++ b/move/move_test.go
@@ -130,6 +130,27 @@
 	assert.Assert(t, active[0].IsUnsaved)
 }
 
+func TestOrderCreatedAgainLongAfterRestore(t *testing.T) {
+	complete := newProgress(Complete, config.FullShare)
+	// Some nodes decide, the others only receive what was stored.
+	for _, received := range [][]Order{
+		{newOrder(versionAt(t, 1, 9), complete), newOrder(versionAt(t, 2, 5), complete)},
+		{newOrder(versionAt(t, 1, 9), newProgress(Running, 1500)), newOrder(versionAt(t, 2, 5), complete)},
+		{newOrder(versionAt(t, 1, 9), complete), newOrder(versionAt(t, 2, 5), Progress{}), newOrder(versionAt(t, 2, 6), complete)},
+	} {
+		table := NewOrderTable()
+		for _, o := range received {
+			table.Merge(_start, o)
+		}
+		again := newOrder(versionAt(t, 2, 50), Progress{})
+		assert.Assert(t, table.Merge(_start.Add(time.Hour), again))
+		o, _, _ := table.Order("desk")
+		assert.Equal(t, o.Revision, again.Revision)
+		assert.Equal(t, o.Progress.State, Ordered)
+		assert.Equal(t, len(table.UnsavedEnds()), 0)
+	}
+}
+
 // An order that the operator writes after a restore is taken, and one that the
 // copy has from before the known order is not.
 func TestOrderAfterRestore(t *testing.T) {
--- a/move/order_table.go
+++ b/move/order_table.go
@@ -71,15 +71,16 @@
 	era, oldEra := objectstore.EraOf(e.order.Revision), objectstore.EraOf(old.order.Revision)
 	switch {
 	case received.order.Revision > old.order.Revision:
-		isBehind := old.order.Progress.isAheadOf(received.order.Progress) && (era > oldEra || old.isUnsaved)
-		if isBehind {
+		e.isStoreBehind = old.order.Progress.isAheadOf(received.order.Progress) && (era > oldEra || old.isStoreBehind)
+		if e.isStoreBehind {
 			e.order.Progress = old.order.Progress
 		}
-		e.isUnsaved = era > oldEra || isBehind
+		// Another node may have kept the progress that was received.
+		e.isUnsaved = era > oldEra || e.isStoreBehind
 	case received.order.Progress.isAheadOf(old.order.Progress) && (era < oldEra || received.order.Revision == old.order.Revision):
 		e.order = old.order
 		e.order.Progress = received.order.Progress
-		e.isUnsaved = true
+		e.isUnsaved, e.isStoreBehind = true, true
 	default:
 		return false
 	}
@@ -96,7 +97,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if entry, ok := t.orders[service]; ok && entry.order.Revision <= revision {
-		entry.isUnsaved = false
+		entry.isUnsaved, entry.isStoreBehind = false, false
 		t.orders[service] = entry
 	}
 }
