move, platform: Test what a restore must not undo

Tests, and what each printed with its line taken out:

- TestDrainedOwnersAreCountedAnewAfterRestore: "complete != running"; a move would be complete while owners still take calls of the version before.
- TestCopyOfSupersededOrderIsRefusedAfterProgress: the copy's order was taken.
- TestTimesOfMoveSurviveRestore: the move started at 08:00:04 instead of 08:00:00.

Change: the tests only.

--- a/move/move_test.go
+++ b/move/move_test.go
@@ -130,6 +130,31 @@
 	assert.Assert(t, active[0].IsUnsaved)
 }
 
+func TestCopyOfSupersededOrderIsRefusedAfterProgress(t *testing.T) {
+	order := func(version uint64, candidate config.VersionName, state State, share config.Share) Order {
+		return Order{Service: "desk", Candidate: candidate, Duration: _duration, Revision: version, Progress: Progress{State: state, Candidate: candidate, Share: share}}
+	}
+	table := NewOrderTable()
+	table.Merge(_start, order(versionAt(t, 1, 5), "v2", Complete, config.FullShare))
+	table.Merge(_start, order(versionAt(t, 1, 8), "v3", 0, 0))
+	table.Merge(_start, order(versionAt(t, 1, 9), "v3", Running, 500))
+	assert.Assert(t, !table.Merge(_start, order(versionAt(t, 2, 5), "v2", Complete, config.FullShare)))
+	o, _, _ := table.Order("desk")
+	assert.Equal(t, o.Candidate, config.VersionName("v3"))
+}
+
+func TestTimesOfMoveSurviveRestore(t *testing.T) {
+	for _, stored := range []Progress{{}, newProgress(Running, 500), newProgress(Running, 3000)} {
+		table := NewOrderTable()
+		known := newProgress(Running, 1500)
+		table.Merge(_start, newOrder(versionAt(t, 1, 9), known))
+		table.Merge(_start.Add(4*time.Second), newOrder(versionAt(t, 2, 5), stored))
+		active := table.Active()[0]
+		assert.Equal(t, active.StartedAt, _start)
+		assert.Equal(t, active.Deadline, _start.Add(known.Remaining))
+	}
+}
+
 func TestOrderCreatedAgainLongAfterRestore(t *testing.T) {
 	complete := newProgress(Complete, config.FullShare)
 	// Some nodes decide, the others only receive what was stored.
@@ -234,6 +259,27 @@
 	assert.Equal(t, next.State, Complete)
 }
 
+// The coordinator had reached the last stage before the restore.
+func TestDrainedOwnersAreCountedAnewAfterRestore(t *testing.T) {
+	before, restored := versionAt(t, 1, 9), versionAt(t, 2, 5)
+	active := ActiveOrder{Order: newOrder(before, newProgress(Running, config.FullShare)), UpdatedAt: _start, StartedAt: _start, Deadline: _start.Add(_duration)}
+	c := NewCoordinator("pilot", active)
+	in := Inputs{Upstreams: []Upstream{{Owner: "old", Version: "v1", ReportedAt: _start, AppliedRevision: before - 1}}}
+	next, _ := c.Decide(_start, active, in)
+	assert.Equal(t, next.State, Running)
+	active.Order.Revision, active.IsUnsaved = restored, true
+	in.Upstreams[0].AppliedRevision = restored
+	next, write := c.Decide(_start, active, in)
+	assert.Assert(t, write)
+	assert.Equal(t, next.State, Running)
+	active.Order.Revision, active.IsUnsaved = restored+1, false
+	next, _ = c.Decide(_start, active, in)
+	assert.Equal(t, next.State, Running)
+	in.Upstreams[0].AppliedRevision = restored + 1
+	next, _ = c.Decide(_start, active, in)
+	assert.Equal(t, next.State, Complete)
+}
+
 func TestCoordinatorStaysAfterRestore(t *testing.T) {
 	progress := func(coordinator membership.NodeID, epoch uint64) Progress {
 		p := newProgress(Running, 1500)
