platform: Take a response without an era for none of the store's

Seen: shown by a review. While something between a node and the store refuses calls without the store's header, the node logs 'Store era changed' with 'era 0, ended' at each call, and a replica that lags after a restore fills the log as well.

Change: a response without the header, after ones with it, says nothing about the era: no read or write is taken from it, as before, and nothing is logged as a change.

--- a/objectstore/history.go
+++ b/objectstore/history.go
@@ -50,6 +50,9 @@
 	// EndedEra means that the response is of an era that has ended; what it says
 	// may have been lost since.
 	EndedEra
+	// UnstatedEra means that the response doesn't say its era although those
+	// before did. It is not the store's own.
+	UnstatedEra
 )
 
 // History is what a client knows of the eras of its store. It is safe for
@@ -76,6 +79,15 @@
 	}
 }
 
+// ObserveUnstated records a response that doesn't say its era, as those of a
+// store without eras do.
+func (h *History) ObserveUnstated() EraRelation {
+	if era, known := h.Era(); known && era > 0 {
+		return UnstatedEra
+	}
+	return h.Observe(0)
+}
+
 // Era returns the newest known era, and false before the first response.
 func (h *History) Era() (uint64, bool) {
 	h.mu.Lock()
