node: Check the rosters after a restore until they are listed

Seen: shown by a review. If the store refuses writes for a moment right after it was restored, the roster of a zone that the copy lacks stays lost until a relay's next regular check, up to a minute. Nodes that start meanwhile find no first contact there.

Cause: a node that has seen the restore checked the rosters once. A write that was refused, or whose outcome is unknown, was no error, so that the check counted as done.

Change: the node goes on checking, at growing intervals, until a list or a write has shown the roster.

--- a/internal/fakes/fakestore/fakestore.go
+++ b/internal/fakes/fakestore/fakestore.go
@@ -30,6 +30,8 @@
 	Reset bool
 	// LoseResponses makes writes take effect and then breaks their connections.
 	LoseResponses bool
+	// RefuseWrites answers writes with a 503.
+	RefuseWrites bool
 	// LateWriteDelay, if positive, makes writes take effect only after this
 	// time, without a response.
 	LateWriteDelay time.Duration
@@ -354,6 +356,10 @@
 	s.mu.Lock()
 	f := s.faults
 	s.mu.Unlock()
+	if f.RefuseWrites {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if len(parts) > 1 {
 		sent.Metadata.Name = parts[1]
 	}
--- a/node/hosted_integration_test.go
+++ b/node/hosted_integration_test.go
@@ -604,3 +604,22 @@
 	c.callUntil("the nodes are listed again", func() bool { return c.rosterSize() >= 3 })
 	assert.Assert(t, time.Since(restored) < 3*time.Second, "took %s", time.Since(restored))
 }
+
+func TestHostedRosterIsWrittenAfterRefusedWrites(t *testing.T) {
+	c := newHostedCluster(t)
+	backup := c.store.Backup()
+	for i := range 12 {
+		c.start(fmt.Sprint("m", i), "z", "v1")
+	}
+	c.callUntil("all serve", c.serving(12))
+	c.callUntil("the nodes are listed in the roster", func() bool { return c.rosterSize() >= 3 })
+	// None of the relays is a watcher, and by now they check the roster rarely.
+	time.Sleep(16 * time.Second)
+	c.store.SetFaults(fakestore.Faults{RefuseWrites: true})
+	c.store.Restore(backup)
+	restored := time.Now()
+	time.Sleep(2 * time.Second)
+	c.store.SetFaults(fakestore.Faults{})
+	c.callUntil("the nodes are listed again", func() bool { return c.rosterSize() >= 3 })
+	assert.Assert(t, time.Since(restored) < 5*time.Second, "took %s", time.Since(restored))
+}
--- a/node/relay.go
+++ b/node/relay.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		return err
 	}
-	if err := n.maintainRoster(ctx, schedule); err != nil {
+	if _, err := n.maintainRoster(ctx, schedule); err != nil {
 		return err
 	}
 	watchCtx, cancel := context.WithTimeout(ctx, schedule.interval)
@@ -157,14 +157,15 @@
 // maintainRoster lists some members of the zone on the platform so that
 // starting nodes find them. Before it replaces an address that it does not
 // know, it contacts that address: otherwise nodes that start together would
-// overwrite each other's addresses and remain separate clusters.
-func (n *Node) maintainRoster(ctx context.Context, schedule *rosterSchedule) error {
+// overwrite each other's addresses and remain separate clusters. It reports
+// whether the roster was seen or written; not while no check is due.
+func (n *Node) maintainRoster(ctx context.Context, schedule *rosterSchedule) (isListed bool, err error) {
 	if !schedule.due(n.deps.Now()) {
-		return nil
+		return false, nil
 	}
 	objects, _, err := n.deps.Platform.ListStale(ctx, objectstore.KindRoster)
 	if err != nil {
-		return errors.Wrap(err, "list rosters")
+		return false, errors.Wrap(err, "list rosters")
 	}
 	own := objectstore.Object{Key: objectstore.Key{Kind: objectstore.KindRoster, Name: string(n.deps.Zone)}}
 	for _, object := range objects {
@@ -194,8 +195,9 @@
 }
 
 // writeRoster lists members of the zone in its roster, unless enough of those
-// already listed are live. A failed write is retried at the next check.
-func (n *Node) writeRoster(ctx context.Context, stored objectstore.Object) error {
+// already listed are live. It reports whether the store then has the roster. A
+// failed write is retried at the next check.
+func (n *Node) writeRoster(ctx context.Context, stored objectstore.Object) (isListed bool, err error) {
 	peers := n.rosterPeers()
 	live := 0
 	if stored.Version != 0 {
@@ -206,11 +208,11 @@
 		}
 	}
 	if live >= min(_minLiveInRoster, len(peers)) {
-		return nil
+		return true, nil
 	}
 	value, err := wire.MarshalRoster(peers)
 	if err != nil {
-		return err
+		return false, err
 	}
 	var outcome objectstore.WriteOutcome
 	if stored.Version == 0 {
@@ -219,7 +221,7 @@
 		outcome = n.deps.Platform.Update(ctx, stored.Key, stored.Version, value)
 	}
 	n.deps.Logger.Info("Roster write finished", "zone", n.deps.Zone, "members", len(peers), "result", outcome.Result.String())
-	return nil
+	return outcome.Result == objectstore.Written, nil
 }
 
 // decodeRoster returns the addresses that a roster lists. It logs a roster that
--- a/node/source.go
+++ b/node/source.go
@@ -143,12 +143,12 @@
 			schedule, mayBeLost = rosterSchedule{}, true
 		}
 		if mayBeLost || n.isRelay() {
-			if err := n.maintainRoster(ctx, &schedule); err != nil {
+			isListed, err := n.maintainRoster(ctx, &schedule)
+			if err != nil {
 				n.deps.Logger.Info("Rosters not read", "cause", err.Error())
 				schedule = rosterSchedule{}
-			} else {
-				mayBeLost = false
 			}
+			mayBeLost = mayBeLost && !isListed
 		}
 		sleep(ctx, _relayCheckInterval)
 	}
