objectstore: Test responses without an era

Change: a test of History.ObserveUnstated alone: a store that never gave an era is in era 0, one that gave it before has not given this response.

Measured: it passes, with the race detector.

--- a/objectstore/history_test.go
+++ b/objectstore/history_test.go
@@ -22,6 +22,17 @@
 	assert.Equal(t, era, uint64(7))
 }
 
+func TestResponseWithoutEra(t *testing.T) {
+	var h History
+	assert.Equal(t, h.ObserveUnstated(), CurrentEra)
+	assert.Equal(t, h.ObserveUnstated(), CurrentEra)
+	assert.Equal(t, h.Observe(3), NewEra)
+	assert.Equal(t, h.ObserveUnstated(), UnstatedEra)
+	era, _ := h.Era()
+	assert.Equal(t, era, uint64(3))
+	assert.Equal(t, h.Observe(3), CurrentEra)
+}
+
 // Versions are ordered by era, then by revision, and out-of-range ones are
 // errors.
 func TestVersionsAreOrderedByEra(t *testing.T) {
