call: Test that a cut refusal stays not run

Holding answers until they are whole at first took a refusal whose body was cut for an unknown outcome, so that a call that had not run was not sent again (found by the review).

--- a/call/cut_answer_test.go
+++ b/call/cut_answer_test.go
@@ -195,3 +195,18 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(rest), "data: 2\n\n")
 }
+
+// A refusal says in its head that the call was not run, also if its body is cut.
+func TestCutRefusalIsNotRun(t *testing.T) {
+	refusing := newScriptedUpstream(t, func(s *scriptedUpstream, conn net.Conn, r *bufio.Reader) {
+		s.readAll(r)
+		writeText(conn, "HTTP/1.1 503 Service Unavailable\r\nLentilferry-Outcome: not-run\r\nLentilferry-Reason: draining\r\nContent-Length: 40\r\n\r\nnot-run")
+	})
+	cluster := newTestCluster(t, _longTimeout, closedPort(t))
+	member := cluster.owners[0].member
+	member.PeerAddress = refusing.address
+	cluster.pool.Update([]membership.Member{member})
+	got := sendRequest(t, newRequest(t, http.MethodPost, cluster.url+"/commands", strings.NewReader("b")))
+	assert.Equal(t, got.outcome, call.NotRun.String())
+	assert.Equal(t, got.reason, "draining")
+}
