--- a/call/metrics.go
+++ b/call/metrics.go
@@ -19,8 +19,8 @@
 }
 
 // NewMetrics returns metrics and publishes them in parent as NAMEOutcomes,
-// NAMEReasons, NAMERetries,
-// NAMEAborted and NAMELatencyMillis, where NAME is the given name.
+// NAMEReasons, NAMERetries, NAMEAborted and NAMELatencyMillis, where NAME is the
+// given name.
 func NewMetrics(parent *expvar.Map, name string) *Metrics {
 	m := &Metrics{outcomes: new(expvar.Map), reasons: new(expvar.Map), retries: new(expvar.Int), aborted: new(expvar.Int), latency: newLatencyHistograms()}
 	for _, o := range []Outcome{Answered, NotRun, Unknown} {
