call: Tell a crashed upstream from a broken connection

After a connection broke, the owner connects to the upstream's address. If that is refused, or was since the call was sent, the process has ended: the reason is upstream-crashed, and the ingress logs the call's content (a hash of method, host, path, query, calling service and body), the process and how long the call ran. A process that announced that it leaves doesn't count. An upstream that refuses connections counts as absent at once, as it did when the next call found out.

--- a/call/dial.go
+++ b/call/dial.go
@@ -16,6 +16,9 @@
 type countingConn struct {
 	net.Conn
 	written atomic.Int64
+	// process is the number of the upstream process that the connection is to; see
+	// UpstreamClient.HasEnded. It is 0 for a connection to another node.
+	process uint64
 }
 
 // Write writes and counts p. All of p counts as written even if the write
@@ -63,6 +66,15 @@
 	return conn != nil && conn.written.Load() == t.writtenBefore.Load()
 }
 
+// process returns the number of the upstream process that the attempt was sent
+// to.
+func (t *writeTracker) process() uint64 {
+	if conn := t.conn.Load(); conn != nil {
+		return conn.process
+	}
+	return 0
+}
+
 const (
 	// _dialTimeout bounds establishing a connection to another node.
 	_dialTimeout = time.Second
--- a/call/ingress_call.go
+++ b/call/ingress_call.go
@@ -60,6 +60,9 @@
 			return
 		}
 		c.recordAttempt(result)
+		if result.Reason == ReasonUpstreamCrashed {
+			c.reportCrash(endpoint, result)
+		}
 		lastResult = combineResults(lastResult, result)
 		c.tried = append(c.tried, endpoint)
 		if !c.mayRetry(ctx, result) {
@@ -113,6 +116,20 @@
 	}
 }
 
+// reportCrash logs the content of a call that was running when an upstream
+// crashed.
+func (c *ingressCall) reportCrash(endpoint *routing.Endpoint, result Result) {
+	c.ingress.deps.Metrics.crashes.Add(1)
+	target := targetOf(c.request, c.ingress.deps.SourceService)
+	content, known := contentOf(target, c.body, c.request.ContentLength)
+	if !known {
+		c.ingress.deps.Logger.Info("Upstream crashed while it ran a call of unknown content", "call", c.id, "upstream", endpoint.Member.ID)
+		return
+	}
+	c.ingress.deps.Logger.Info("Upstream crashed while it ran a call", "call", c.id, "content", content.String(),
+		"upstream", endpoint.Member.ID, "process", result.crash.process, "ranFor", result.crash.ranFor)
+}
+
 // combineResults returns the result of two consecutive attempts together: if
 // one of them has an unknown outcome, so has the call.
 func combineResults(earlier, later Result) Result {
--- a/call/ingress_result.go
+++ b/call/ingress_result.go
@@ -50,6 +50,11 @@
 			result.RetryAfter = after
 		}
 	}
+	if text := response.Header.Get(headerCrash); text != "" {
+		if reported, err := parseUpstreamCrash(text); err == nil {
+			result.crash = reported
+		}
+	}
 	return result, true
 }
 
--- a/call/outcome.go
+++ b/call/outcome.go
@@ -81,6 +81,9 @@
 	// ReasonConnectionBroken means that the connection broke after the call was
 	// sent.
 	ReasonConnectionBroken Reason = "broken"
+	// ReasonUpstreamCrashed means that the upstream's process ended after the call
+	// was sent to it.
+	ReasonUpstreamCrashed Reason = "upstream-crashed"
 	// ReasonCloseDelimited means that the response ends with its connection, so
 	// that an incomplete one could not be detected.
 	ReasonCloseDelimited Reason = "answer-without-length"
@@ -112,6 +115,8 @@
 	// headerLoad is an upstream's load as its owner sees it; see
 	// Owner.loadHeader.
 	headerLoad = "Lentilferry-Load"
+	// headerCrash tells of the process that ended; see upstreamCrash.
+	headerCrash = "Lentilferry-Crash"
 	// headerRetryMillis is the time until the owner expects to have room for a
 	// call that it refused, in milliseconds.
 	headerRetryMillis = "Lentilferry-Retry-Millis"
@@ -128,6 +133,8 @@
 	// RetryAfter is the delay after which a call that was not run is worth
 	// retrying; 0 if unknown.
 	RetryAfter time.Duration
+	// crash is set if the reason is ReasonUpstreamCrashed.
+	crash upstreamCrash
 }
 
 // DefaultRetryAfter is the retry delay given to callers where no better one is
--- a/call/owner.go
+++ b/call/owner.go
@@ -14,6 +14,7 @@
 
 	"lentilferry.example/lentilferry/admission"
 	"lentilferry.example/lentilferry/config"
+	"lentilferry.example/lentilferry/crash"
 	"lentilferry.example/lentilferry/evidence"
 	"lentilferry.example/lentilferry/identity"
 	"lentilferry.example/lentilferry/membership"
@@ -35,6 +36,15 @@
 	ReportAnswered(now time.Time, id upstream.ID)
 	// ReportUnreachable reports that no call could be sent to the process.
 	ReportUnreachable(now time.Time, id upstream.ID)
+	// IsLeaving reports whether the process has said that it leaves.
+	IsLeaving(id upstream.ID) bool
+}
+
+// ProcessProbe tells whether processes of the upstream have ended.
+type ProcessProbe interface {
+	// HasEnded reports whether the process with the given number, as counted by
+	// connections to the address, has ended.
+	HasEnded(ctx context.Context, address string, process uint64) bool
 }
 
 // OwnerDependencies holds what NewOwner needs.
@@ -47,7 +57,10 @@
 	Process UpstreamProcess
 	// Transport sends calls to the upstream; see NewUpstreamClient.
 	Transport http.RoundTripper
-	Dialect   Dialect
+	// Probe is asked after a connection to the upstream broke. It is nil where a
+	// crash can't be told from a broken connection.
+	Probe   ProcessProbe
+	Dialect Dialect
 	// AllowCloseDelimited allows responses without a length, which end with
 	// their connection.
 	AllowCloseDelimited bool
@@ -316,15 +329,35 @@
 func (c *ownerCall) handleUpstreamFailure(ctx context.Context, tracker *writeTracker) Result {
 	o := c.owner
 	result := classifyFailure(ctx, tracker)
-	if result.Reason == ReasonUnreachable && o.deps.Process != nil {
+	if result.Reason == ReasonConnectionBroken && c.upstreamEnded(ctx, tracker.process()) {
+		result.Reason = ReasonUpstreamCrashed
+		result.crash = upstreamCrash{process: crash.NewProcess(o.deps.Self().Instance(), tracker.process()), ranFor: o.deps.Now().Sub(c.admittedAt)}
+	}
+	if (result.Reason == ReasonUnreachable || result.Reason == ReasonUpstreamCrashed) && o.deps.Process != nil {
 		o.deps.Process.ReportUnreachable(o.deps.Now(), c.process)
 	}
 	c.recordUnanswered(result.Reason != ReasonCanceled)
 	o.deps.Logger.Info("Upstream did not respond", "call", c.forwarded.id, "process", c.process,
-		"outcome", result.Outcome.String(), "reason", result.Reason)
+		"outcome", result.Outcome.String(), "reason", result.Reason, "ranFor", o.deps.Now().Sub(c.admittedAt))
 	return result
 }
 
+// _probeTimeout bounds the check whether the upstream's process has ended, which
+// is a connection on the same VM.
+const _probeTimeout = 200 * time.Millisecond
+
+// upstreamEnded reports whether the upstream process with the given number has
+// ended without having said that it leaves.
+func (c *ownerCall) upstreamEnded(ctx context.Context, process uint64) bool {
+	o := c.owner
+	if o.deps.Probe == nil || o.deps.Process != nil && o.deps.Process.IsLeaving(c.process) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), _probeTimeout)
+	defer cancel()
+	return o.deps.Probe.HasEnded(ctx, o.upstream, process)
+}
+
 // classifyResponse returns the result according to a response's headers.
 func (c *ownerCall) classifyResponse(response *http.Response) Result {
 	o := c.owner
@@ -360,6 +393,9 @@
 // always in NativeDialect.
 func (o *Owner) writeResult(w http.ResponseWriter, result Result) {
 	w.Header()[headerLoad] = []string{o.loadHeader()}
+	if result.Reason == ReasonUpstreamCrashed {
+		w.Header()[headerCrash] = []string{result.crash.String()}
+	}
 	if result.RetryAfter > 0 {
 		w.Header()[headerRetryMillis] = []string{formatMillis(result.RetryAfter)}
 	}
--- a/call/upstream_client.go
+++ b/call/upstream_client.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -63,9 +64,17 @@
 	closed bool
 	// dialCount is the number of connections established so far.
 	dialCount uint64
+	// process is the number of the upstream's process. It grows with the first
+	// connection after one was refused.
+	process uint64
+	// refused is set while the upstream's address refuses connections.
+	refused bool
 }
 
-var _ http.RoundTripper = (*UpstreamClient)(nil)
+var (
+	_ http.RoundTripper = (*UpstreamClient)(nil)
+	_ ProcessProbe      = (*UpstreamClient)(nil)
+)
 
 // NewUpstreamClient returns a client that keeps up to maxIdle idle connections.
 func NewUpstreamClient(maxIdle int, dialect Dialect) *UpstreamClient {
@@ -247,13 +256,41 @@
 // Dial establishes a connection to the upstream.
 func (c *UpstreamClient) Dial(ctx context.Context, address string) (*countingConn, error) { //nolint:revive // The connection is for this package and its tests.
 	raw, err := c.dialer.DialContext(ctx, "tcp", address)
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if err != nil {
+		c.refused = c.refused || errors.Is(err, syscall.ECONNREFUSED)
 		return nil, errors.Wrap(err, "connect to upstream")
 	}
-	c.mu.Lock()
 	c.dialCount++
-	c.mu.Unlock()
-	return &countingConn{Conn: raw}, nil
+	if c.refused {
+		c.process++
+		c.refused = false
+	}
+	return &countingConn{Conn: raw, process: c.process}, nil
+}
+
+// HasEnded reports whether the upstream process with the given number has ended:
+// its address refuses connections, or has done so before it accepted them again.
+// A process that has only lost a connection still listens.
+func (c *UpstreamClient) HasEnded(ctx context.Context, address string, process uint64) bool {
+	if c.replaced(process) {
+		return true
+	}
+	conn, err := c.Dial(ctx, address)
+	if err == nil {
+		_ = conn.Close()
+		return c.replaced(process)
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// replaced reports whether a later process than the given one accepts
+// connections, or none does.
+func (c *UpstreamClient) replaced(process uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refused || c.process > process
 }
 
 // takeIdle returns the most recently used idle connection, or nil if there is
--- a/node/announced.go
+++ b/node/announced.go
@@ -179,6 +179,11 @@
 	p.node.upstreamRegistry.MarkReachable(now, id)
 }
 
+// IsLeaving reports whether the process has said that it leaves.
+func (p announcedProcess) IsLeaving(id upstream.ID) bool {
+	return p.node.upstreamRegistry.IsLeaving(id)
+}
+
 // ReportUnreachable records that no connection to the process could be made.
 func (p announcedProcess) ReportUnreachable(now time.Time, id upstream.ID) {
 	p.node.upstreamRegistry.MarkUnreachable()
--- a/node/node.go
+++ b/node/node.go
@@ -366,6 +366,7 @@
 		Upstream:  n.deps.Upstream.Address,
 		Process:   n.upstreamProcess(),
 		Transport: toUpstream,
+		Probe:     toUpstream,
 		Dialect:   n.deps.Dialect,
 		// An upstream that announces itself may end a response by closing the
 		// connection.
--- a/upstream/registry.go
+++ b/upstream/registry.go
@@ -210,6 +210,31 @@
 	return r.lastDeparted
 }
 
+// IsLeaving reports whether the upstream with the given ID has said that it
+// leaves, or was reported as departed.
+func (r *Registry) IsLeaving(id ID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.departedUnannounced[id] {
+		return true
+	}
+	for instance := range r.departed {
+		if instance.ID == id && instance.Incarnation >= r.incarnationOf(id) {
+			return true
+		}
+	}
+	return false
+}
+
+// incarnationOf returns the incarnation of the current upstream if it has the
+// given ID, and 0 otherwise. The caller holds r.mu.
+func (r *Registry) incarnationOf(id ID) uint64 {
+	if r.current.ID == id {
+		return r.current.Incarnation
+	}
+	return 0
+}
+
 // markDeparted remembers that an instance accepts no more calls. When too many
 // are remembered it forgets all but lastDeparted first.
 func (r *Registry) markDeparted(instance Instance) {
