--- a/node/hosted_integration_test.go
+++ b/node/hosted_integration_test.go
@@ -103,10 +103,16 @@
 // upstream to it.
 func (c *hostedCluster) start(id string, zone membership.Zone, version config.VersionName) *hostedNode {
 	c.t.Helper()
-	n := &hostedNode{runs: make(map[string]int), id: upstream.ID("i-" + id), incarnation: 1}
+	n := &hostedNode{runs: make(map[string]int)}
 	server := httptest.NewServer(http.HandlerFunc(n.serveUpstream))
 	c.t.Cleanup(server.Close)
-	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	return c.startNode(n, id, zone, version, netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
+}
+
+// startNode starts a node whose upstream listens on the given address.
+func (c *hostedCluster) startNode(n *hostedNode, id string, zone membership.Zone, version config.VersionName, address netip.AddrPort) *hostedNode {
+	c.t.Helper()
+	n.id, n.incarnation = upstream.ID("i-"+id), 1
 	var l node.Listeners
 	for _, target := range []*net.Listener{&l.Calls, &l.Peers, &l.Admin} {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
