upstream: Take a refused connection for the process that refused it only

A node that learned late that its upstream's earlier process had refused a connection marked the present one, which had announced itself meanwhile, as absent until its next announcement.

TestRefusedConnectionOfEarlierProcess: on the code before, MarkUnreachable had no process and the state was absent in place of ready.

--- a/node/announced.go
+++ b/node/announced.go
@@ -186,7 +186,7 @@
 
 // ReportUnreachable records that no connection to the process could be made.
 func (p announcedProcess) ReportUnreachable(now time.Time, id upstream.ID) {
-	p.node.upstreamRegistry.MarkUnreachable()
+	p.node.upstreamRegistry.MarkUnreachable(id)
 	p.node.deps.Logger.Info("Upstream connection failed", "process", id)
 	p.node.syncUpstreamState(now)
 }
--- a/upstream/registry.go
+++ b/upstream/registry.go
@@ -257,12 +257,14 @@
 	}
 }
 
-// MarkUnreachable records that the upstream refused a connection. It is absent
-// until it announces itself again or answers a call.
-func (r *Registry) MarkUnreachable() {
+// MarkUnreachable records that the upstream with the given ID refused a
+// connection. It is absent until it announces itself again or answers a call.
+func (r *Registry) MarkUnreachable(id ID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.unreachable = true
+	if id == r.current.ID {
+		r.unreachable = true
+	}
 }
 
 // Current returns the newest announcement and the state of the upstream.
--- a/upstream/registry_test.go
+++ b/upstream/registry_test.go
@@ -96,7 +96,7 @@
 func TestUnreachableUntilNextAnnouncement(t *testing.T) {
 	r := New("desk", _address)
 	r.HandleAnnouncement(_start, announcement(nil))
-	r.MarkUnreachable()
+	r.MarkUnreachable("u1")
 	assert.Equal(t, stateAt(r, _start), Absent)
 	r.HandleAnnouncement(_start, announcement(func(a *Announcement) { a.Sequence = 2 }))
 	assert.Equal(t, stateAt(r, _start), Ready)
@@ -125,3 +125,11 @@
 	r.HandleAnnouncement(_start, announcement(func(a *Announcement) { a.Incarnation = 200 }))
 	assert.Equal(t, stateAt(r, _start), Ready)
 }
+
+func TestRefusedConnectionOfEarlierProcess(t *testing.T) {
+	r := New("desk", _address)
+	r.HandleAnnouncement(_start, announcement(nil))
+	r.HandleAnnouncement(_start, announcement(func(a *Announcement) { a.ID, a.Incarnation = "u2", 200 }))
+	r.MarkUnreachable("u1")
+	assert.Equal(t, stateAt(r, _start), Ready)
+}
