crash, call, node: Block calls that crash the upstreams that run them

Cause: a retry was decided from one call's own outcome and the service's budget. Nothing about a call outlived it, so each repeat started from none, at each node. Class: a limit that is kept per request where the harm is per content.

Change: package crash knows calls by content and counts the upstream processes that ended while they ran one. After three, each sent the call after the one before had crashed and with no answer in between, the call is refused as not run at all nodes. Records travel with the messages that nodes exchange anyway. The owner checks again before it sends, for calls that waited or came from an ingress that doesn't know yet. A block ends by a trial call, after a minute at first, and holds for the versions that crashed.

--- a/call/cluster_test.go
+++ b/call/cluster_test.go
@@ -22,6 +22,7 @@
 	"lentilferry.example/lentilferry/admission"
 	"lentilferry.example/lentilferry/call"
 	"lentilferry.example/lentilferry/config"
+	"lentilferry.example/lentilferry/crash"
 	"lentilferry.example/lentilferry/evidence"
 	"lentilferry.example/lentilferry/identity"
 	"lentilferry.example/lentilferry/membership"
@@ -47,6 +48,7 @@
 type testOwner struct {
 	member   membership.Member
 	gate     *admission.Gate
+	crashes  *crash.Table
 	observed *failureCounter
 	// accepted counts the connections from ingresses.
 	accepted *atomic.Int64
@@ -110,6 +112,8 @@
 		Dialect:          call.NativeDialect{},
 		Budgets:          retry.NewBudgets[config.ServiceName](retry.DefaultLimits()),
 		NodeCount:        func() int { return 1 },
+		Crashes:          crash.New("ingress"),
+		CrashesChanged:   func() {},
 		ShareSlotsFairly: true,
 		Metrics:          call.NewMetrics(new(expvar.Map), "ingress"),
 		Logger:           klog.Logger{},
@@ -163,7 +167,7 @@
 // newTestOwnerWith starts an owner with the given dialect.
 func newTestOwnerWith(t testing.TB, id membership.NodeID, upstream netip.AddrPort, dialect call.Dialect, allowCloseDelimited bool) *testOwner {
 	t.Helper()
-	o := &testOwner{gate: admission.New(admission.DefaultLimits(_testSlots)), observed: &failureCounter{}, accepted: new(atomic.Int64)}
+	o := &testOwner{gate: admission.New(admission.DefaultLimits(_testSlots)), crashes: crash.New(string(id)), observed: &failureCounter{}, accepted: new(atomic.Int64)}
 	o.member = membership.Member{
 		ID: id, Incarnation: 1, State: membership.Serving, Zone: "a", Region: "r",
 		Service: "s", Version: "v1", Slots: _testSlots,
@@ -178,6 +182,7 @@
 		AllowCloseDelimited: allowCloseDelimited,
 		Gate:                o.gate,
 		Identities:          identity.New(time.Now(), config.MaxTimeout, 1000),
+		Crashes:             o.crashes,
 		Observer:            o.observed,
 		Metrics:             call.NewMetrics(new(expvar.Map), "owner"),
 		Now:                 time.Now,
--- a/call/ingress.go
+++ b/call/ingress.go
@@ -14,6 +14,7 @@
 
 	"lentilferry.example/lentilferry/admission"
 	"lentilferry.example/lentilferry/config"
+	"lentilferry.example/lentilferry/crash"
 	"lentilferry.example/lentilferry/membership"
 	"lentilferry.example/lentilferry/retry"
 	"lentilferry.example/lentilferry/routing"
@@ -63,6 +64,10 @@
 	Budgets       *retry.Budgets[config.ServiceName]
 	// NodeCount returns how many nodes share the retry budgets.
 	NodeCount func() int
+	// Crashes decides on calls that have crashed upstreams.
+	Crashes *crash.Table
+	// CrashesChanged is called after a change of Crashes that other nodes need.
+	CrashesChanged func()
 	// ShareSlotsFairly shares the slots of an upstream fairly among the IP
 	// addresses of the callers.
 	ShareSlotsFairly bool
--- a/call/ingress_call.go
+++ b/call/ingress_call.go
@@ -41,6 +41,9 @@
 	// retryAfter is the shortest RetryAfter of the owners that refused the call;
 	// 0 if none gave one.
 	retryAfter time.Duration
+	// isTrial is set while the current attempt is a trial of a call that has
+	// crashed upstreams.
+	isTrial bool
 }
 
 // serve tries upstreams until the outcome is Answered, the call may not be
@@ -52,24 +55,26 @@
 		if !ok {
 			break
 		}
+		if blocked := c.checkCrashes(ctx, endpoint); blocked.Outcome != Answered {
+			lastResult = combineResults(lastResult, blocked)
+			break
+		}
 		began := c.ingress.deps.Now()
 		result := c.tryEndpoint(ctx, endpoint, attempt)
+		c.reportCrashes(endpoint, result)
 		c.logAttempt(endpoint, attempt, result, c.ingress.deps.Now().Sub(began))
 		if result.Outcome == Answered {
 			c.recordResult(result)
 			return
 		}
 		c.recordAttempt(result)
-		if result.Reason == ReasonUpstreamCrashed {
-			c.reportCrash(endpoint, result)
-		}
 		lastResult = combineResults(lastResult, result)
 		c.tried = append(c.tried, endpoint)
 		if !c.mayRetry(ctx, result) {
 			break
 		}
 	}
-	if lastResult.Outcome == NotRun {
+	if lastResult.Outcome == NotRun && lastResult.Reason != ReasonCrashesUpstreams {
 		lastResult.RetryAfter = retryAfterHint(c.retryAfter, c.callerRemaining-c.ingress.deps.Now().Sub(c.receivedAt), rand.Float64())
 	}
 	c.ingress.deps.Logger.Info("Gave up call", "call", c.id, "route", c.target.Route.Name, "versions", c.versions[0].String(),
@@ -116,20 +121,6 @@
 	}
 }
 
-// reportCrash logs the content of a call that was running when an upstream
-// crashed.
-func (c *ingressCall) reportCrash(endpoint *routing.Endpoint, result Result) {
-	c.ingress.deps.Metrics.crashes.Add(1)
-	target := targetOf(c.request, c.ingress.deps.SourceService)
-	content, known := contentOf(target, c.body, c.request.ContentLength)
-	if !known {
-		c.ingress.deps.Logger.Info("Upstream crashed while it ran a call of unknown content", "call", c.id, "upstream", endpoint.Member.ID)
-		return
-	}
-	c.ingress.deps.Logger.Info("Upstream crashed while it ran a call", "call", c.id, "content", content.String(),
-		"upstream", endpoint.Member.ID, "process", result.crash.process, "ranFor", result.crash.ranFor)
-}
-
 // combineResults returns the result of two consecutive attempts together: if
 // one of them has an unknown outcome, so has the call.
 func combineResults(earlier, later Result) Result {
@@ -165,7 +156,7 @@
 // result. Sending a call to a further upstream uses the retry budget; retrying
 // one that no upstream has received doesn't.
 func (c *ingressCall) mayRetry(ctx context.Context, result Result) bool {
-	if ctx.Err() != nil || !c.body.replayable() {
+	if ctx.Err() != nil || !c.body.replayable() || result.Reason == ReasonCrashesUpstreams {
 		return false
 	}
 	if result.Outcome == Unknown && (!c.idempotent() || result.Reason == ReasonDeadline || result.Reason == ReasonCloseDelimited) {
--- a/call/outcome.go
+++ b/call/outcome.go
@@ -84,6 +84,9 @@
 	// ReasonUpstreamCrashed means that the upstream's process ended after the call
 	// was sent to it.
 	ReasonUpstreamCrashed Reason = "upstream-crashed"
+	// ReasonCrashesUpstreams means that the call was refused because it has crashed
+	// each upstream that ran it; see package crash.
+	ReasonCrashesUpstreams Reason = "crashes-upstreams"
 	// ReasonCloseDelimited means that the response ends with its connection, so
 	// that an incomplete one could not be detected.
 	ReasonCloseDelimited Reason = "answer-without-length"
--- a/call/owner.go
+++ b/call/owner.go
@@ -68,10 +68,12 @@
 	Gate *admission.Gate
 	// Identities detects duplicates of calls that must not run twice.
 	Identities *identity.Record
-	Observer   Observer
-	Metrics    *Metrics
-	Logger     klog.Logger
-	Now        func() time.Time
+	// Crashes decides on calls that have crashed upstreams.
+	Crashes  *crash.Table
+	Observer Observer
+	Metrics  *Metrics
+	Logger   klog.Logger
+	Now      func() time.Time
 }
 
 // Owner sends calls to the node's own upstream. It alone decides which calls
@@ -161,6 +163,9 @@
 	process upstream.ID
 	// admittedAt is when the call got its slot; zero until then.
 	admittedAt time.Time
+	// body is what is left to send of the request's body once checkCrashes has
+	// read it; nil before.
+	body io.Reader
 }
 
 // execute checks the call, waits for a slot and sends the call to the upstream.
@@ -190,6 +195,10 @@
 		o.deps.Gate.Release(o.deps.Now(), ticket, admission.NotRun)
 		return nil, o.notRun(ReasonNoUpstream)
 	}
+	if result := c.checkCrashes(ctx); result.Outcome != Answered {
+		o.deps.Gate.Release(o.deps.Now(), ticket, admission.NotRun)
+		return nil, result
+	}
 	return c.sendToUpstream(ctx, ticket)
 }
 
@@ -413,7 +422,7 @@
 func (c *ownerCall) newUpstreamRequest(ctx context.Context) *http.Request {
 	o := c.owner
 	// The sender closes its body. drainRequest still has to read the request's.
-	out := newOutgoingRequest(ctx, c.request, o.upstream, io.NopCloser(c.request.Body), o.deps.Dialect)
+	out := newOutgoingRequest(ctx, c.request, o.upstream, io.NopCloser(c.requestBody()), o.deps.Dialect)
 	callDepth, err := parseDepth(c.request.Header)
 	if err != nil {
 		// Unexpected: the depth comes from the forwarding node. Goes on with 0.
--- a/call/upstream_client.go
+++ b/call/upstream_client.go
@@ -255,11 +255,13 @@
 
 // Dial establishes a connection to the upstream.
 func (c *UpstreamClient) Dial(ctx context.Context, address string) (*countingConn, error) { //nolint:revive // The connection is for this package and its tests.
+	dialCount := c.DialCount()
 	raw, err := c.dialer.DialContext(ctx, "tcp", address)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil {
-		c.refused = c.refused || errors.Is(err, syscall.ECONNREFUSED)
+		// A connection made meanwhile is newer than the refusal.
+		c.refused = c.refused || errors.Is(err, syscall.ECONNREFUSED) && c.dialCount == dialCount
 		return nil, errors.Wrap(err, "connect to upstream")
 	}
 	c.dialCount++
--- /dev/null
+++ b/crash/record.go
@@ -0,0 +1,200 @@
+package crash
+
+import (
+	"slices"
+	"time"
+
+	"lentilferry.example/lentilferry/config"
+)
+
+const (
+	// Threshold is how many processes a call crashes before it is blocked.
+	Threshold = 3
+	// _minBlock is how long a call is blocked at first. Each trial call that
+	// crashes an upstream doubles it, up to _maxBlock.
+	_minBlock = time.Minute
+	_maxBlock = time.Hour
+	// _memory is how long a crash counts, and how long a call is remembered at
+	// least after its block has ended.
+	_memory = 2 * time.Minute
+	// _maxCrashes bounds the crashes of a record.
+	_maxCrashes = 8
+	// _maxTrips is more than _maxBlock needs.
+	_maxTrips = 16
+)
+
+// Runner is what runs a call: a service in one version.
+type Runner struct {
+	Service config.ServiceName
+	Version config.VersionName
+}
+
+// Crash is the end of an upstream process while it was running a call.
+type Crash struct {
+	// Process identifies the process among all that ever ran.
+	Process uint64
+	Runner  Runner
+	// StartedAt is when the process was sent the call, and At when it ended.
+	StartedAt, At time.Time
+}
+
+// Record is what is known of a call that was running when upstreams crashed.
+type Record struct {
+	Content Content
+	Target  Target
+	// Label describes the call for operators; it may be empty while the call is
+	// not blocked.
+	Label string
+	// Generation grows each time the call is cleared: by an answer or by an
+	// operator. Of two records, that of the higher generation is valid.
+	Generation uint32
+	// Trips is how often the call was blocked in this generation; 0 while its
+	// crashes are counted.
+	Trips uint32
+	// Crashes is sorted by time and has an entry for each runner that is
+	// blocked. It holds at most _maxCrashes.
+	Crashes []Crash
+	// ChangedAt is when the call was last blocked, cleared or, before it is
+	// blocked, last crashed a process.
+	ChangedAt time.Time
+}
+
+// Blocked reports whether the call is in a block, whatever the runner.
+func (r *Record) Blocked(now time.Time) bool {
+	return r.Trips > 0 && now.Before(r.BlockedUntil())
+}
+
+// BlockedUntil returns when the call's latest block ends; the zero time if it
+// was not blocked.
+func (r *Record) BlockedUntil() time.Time {
+	if r.Trips == 0 {
+		return time.Time{}
+	}
+	return r.ChangedAt.Add(r.blockDuration())
+}
+
+func (r *Record) blockDuration() time.Duration {
+	return min(_maxBlock, _minBlock<<(min(r.Trips, _maxTrips)-1))
+}
+
+// expired reports whether the record no longer matters.
+func (r *Record) expired(now time.Time) bool {
+	if r.Trips == 0 {
+		return now.Sub(r.ChangedAt) > _memory
+	}
+	return now.Sub(r.BlockedUntil()) > max(_memory, r.blockDuration())
+}
+
+// hasCrashed reports whether the call has crashed a process of the runner.
+func (r *Record) hasCrashed(runner Runner) bool {
+	return slices.ContainsFunc(r.Crashes, func(c Crash) bool { return c.Runner == runner })
+}
+
+// addCrash adds a crash unless it is known, and reports whether it did. It
+// blocks the call when the threshold is reached.
+func (r *Record) addCrash(now time.Time, c Crash) bool {
+	if slices.ContainsFunc(r.Crashes, func(known Crash) bool { return known.Process == c.Process }) {
+		return false
+	}
+	if r.Trips > 0 {
+		return r.addCrashToBlocked(now, c)
+	}
+	before := len(r.Crashes)
+	r.Crashes = append(slices.Clone(r.Crashes), c)
+	slices.SortStableFunc(r.Crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
+	chain := sequence(r.Crashes)
+	if len(chain) >= Threshold {
+		r.Trips, r.ChangedAt = 1, now
+		r.dropSurplus(chain)
+		return true
+	}
+	r.dropSurplus(chain)
+	if len(r.Crashes) == before {
+		return false
+	}
+	r.ChangedAt = r.Crashes[len(r.Crashes)-1].At
+	return true
+}
+
+// addCrashToBlocked adds a crash by a call that was blocked before. It blocks
+// the call again if the run began after the block had ended, and blocks it for
+// one more runner if this one had not crashed before.
+func (r *Record) addCrashToBlocked(now time.Time, c Crash) bool {
+	changed := false
+	if !c.StartedAt.Before(r.BlockedUntil()) {
+		r.Trips, r.ChangedAt = min(r.Trips+1, _maxTrips), now
+		changed = true
+	}
+	return r.addRunner(c) || changed
+}
+
+// addRunner adds a crash if it is the first of its runner, and reports whether
+// it did.
+func (r *Record) addRunner(c Crash) bool {
+	if r.hasCrashed(c.Runner) || len(r.Crashes) >= _maxCrashes {
+		return false
+	}
+	r.Crashes = append(slices.Clone(r.Crashes), c)
+	return true
+}
+
+// dropSurplus keeps the crashes in the chain, and of the others one for each
+// runner that has none in it.
+func (r *Record) dropSurplus(chain []Crash) {
+	all := r.Crashes
+	r.Crashes = chain
+	for _, c := range all {
+		if !r.hasCrashed(c.Runner) && len(r.Crashes) < _maxCrashes {
+			r.Crashes = append(r.Crashes, c)
+		}
+	}
+	slices.SortStableFunc(r.Crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
+}
+
+// sequence returns the longest sequence of crashes in which each run began
+// after the crash before it. The crashes must be sorted by time. Upstreams that
+// end at the same moment have a common cause, which is not a call that each of
+// them was running.
+func sequence(crashes []Crash) []Crash {
+	var chain []Crash
+	for _, c := range crashes {
+		if len(chain) == 0 || !c.StartedAt.Before(chain[len(chain)-1].At) {
+			chain = append(chain, c)
+		}
+	}
+	return chain
+}
+
+// merge merges another node's record of the same call and reports whether this
+// one has changed.
+func (r *Record) merge(now time.Time, other Record) bool {
+	if other.Generation != r.Generation || other.Trips != r.Trips {
+		newer := other.Generation > r.Generation || other.Generation == r.Generation && other.Trips > r.Trips
+		if !newer {
+			return false
+		}
+		if other.Label == "" {
+			other.Label = r.Label
+		}
+		*r = other
+		return true
+	}
+	changed := false
+	for _, c := range other.Crashes {
+		if r.Trips > 0 {
+			changed = r.addRunner(c) || changed
+		} else {
+			changed = r.addCrash(now, c) || changed
+		}
+	}
+	return changed
+}
+
+// clear starts a new generation without the crashes for which drop is true.
+func (r *Record) clear(now time.Time, drop func(Crash) bool) {
+	r.Generation++
+	r.Crashes = slices.DeleteFunc(slices.Clone(r.Crashes), drop)
+	if len(r.Crashes) == 0 {
+		r.Trips, r.ChangedAt = 0, now
+	}
+}
--- /dev/null
+++ b/crash/table.go
@@ -0,0 +1,348 @@
+package crash
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// _maxRecords bounds the records of a table.
+	_maxRecords = 256
+	// _maxSharedRecords bounds the records that a node sends in one message.
+	_maxSharedRecords = 32
+	// _trialTimeout is how long a node waits for the outcome of a trial call
+	// before it lets the next one through.
+	_trialTimeout = 10 * time.Second
+	// _trialStagger bounds how much later than others a node lets its first
+	// trial call through after a block has ended, so that nodes don't all try at
+	// once.
+	_trialStagger = 20 * time.Second
+)
+
+// Verdict says what to do with a call.
+type Verdict int
+
+// The verdicts on calls.
+const (
+	// Allowed means that nothing speaks against the call.
+	Allowed Verdict = iota + 1
+	// Trial means that the call may go to an upstream to find out whether it
+	// still crashes one. It counts as under way until its outcome is reported.
+	Trial
+	// Blocked means that the call is refused.
+	Blocked
+)
+
+// String returns the name of the verdict, as it appears in logs.
+func (v Verdict) String() string {
+	switch v {
+	case Allowed:
+		return "allowed"
+	case Trial:
+		return "trial"
+	case Blocked:
+		return "blocked"
+	default:
+		return "invalid"
+	}
+}
+
+// Call is a call as a node knows it that has read its body.
+type Call struct {
+	Target  Target
+	Content Content
+	// Label describes the call for operators.
+	Label string
+}
+
+// entry is a record and what this node alone knows of the call.
+type entry struct {
+	record Record
+	// trialAt is when this node last let a trial call through; zero if none is
+	// under way.
+	trialAt time.Time
+	// sound holds the runners that have answered the call since it was blocked
+	// for others.
+	sound map[Runner]bool
+}
+
+// Table holds the records of the calls that were running when upstreams crashed.
+// Tables that exchange their records agree in the end. It is safe for concurrent
+// use.
+type Table struct {
+	// self is the node's name, by which its trial calls are spread.
+	self string
+	// size is the number of entries, for calls to be checked without a lock
+	// while there are none.
+	size atomic.Int64
+
+	mu      sync.Mutex
+	entries map[Content]*entry
+	// targets counts the entries of each target.
+	targets map[Target]int
+	// refused counts the calls that Check has blocked.
+	refused uint64
+}
+
+// New returns an empty table for the node with the given name.
+func New(self string) *Table {
+	return &Table{self: self, entries: make(map[Content]*entry), targets: make(map[Target]int)}
+}
+
+// Empty reports whether no call is on record. It is cheap enough for each call.
+func (t *Table) Empty() bool {
+	return t.size.Load() == 0
+}
+
+// Suspects reports whether a call to the target is on record, so that the
+// content of this one matters.
+func (t *Table) Suspects(target Target) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.targets[target] > 0
+}
+
+// Check returns the verdict on a call that is about to be sent to a runner, and
+// for a blocked one the time until it is worth trying again.
+func (t *Table) Check(now time.Time, content Content, runner Runner) (Verdict, time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.entries[content]
+	if !ok || e.record.Trips == 0 || e.record.expired(now) || e.sound[runner] {
+		return Allowed, 0
+	}
+	until := e.record.BlockedUntil()
+	if e.record.hasCrashed(runner) {
+		until = until.Add(t.stagger(content))
+	} else {
+		// Another version may run the call well.
+		until = now
+	}
+	if !e.trialAt.IsZero() {
+		until = later(until, e.trialAt.Add(_trialTimeout))
+	}
+	if now.Before(until) {
+		t.refused++
+		return Blocked, until.Sub(now)
+	}
+	e.trialAt = now
+	return Trial, 0
+}
+
+// IsBlocked reports whether a call is in a block for a runner, and how long that
+// lasts. Unlike Check it lets all trial calls through: another node has decided
+// on them.
+func (t *Table) IsBlocked(now time.Time, content Content, runner Runner) (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.entries[content]
+	if !ok || !e.record.Blocked(now) || !e.record.hasCrashed(runner) {
+		return 0, false
+	}
+	t.refused++
+	return e.record.BlockedUntil().Sub(now), true
+}
+
+// RecordCrash records that a process ended while it was running a call. It
+// returns the updated record and whether that has changed.
+func (t *Table) RecordCrash(now time.Time, call Call, c Crash) (Record, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.entries[call.Content]
+	if !ok {
+		e = t.add(now, Record{Content: call.Content, Target: call.Target})
+	}
+	e.trialAt = time.Time{}
+	delete(e.sound, c.Runner)
+	changed := e.record.addCrash(now, c)
+	if e.record.Label == "" {
+		e.record.Label = call.Label
+	}
+	return e.record, changed
+}
+
+// RecordAnswer records that a runner has answered a call completely, which
+// clears the call for it. It reports whether that changed the record.
+func (t *Table) RecordAnswer(now time.Time, content Content, runner Runner) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.entries[content]
+	if !ok {
+		return false
+	}
+	e.trialAt = time.Time{}
+	if !e.record.hasCrashed(runner) {
+		if e.record.Trips > 0 {
+			if e.sound == nil {
+				e.sound = make(map[Runner]bool)
+			}
+			e.sound[runner] = true
+		}
+		return false
+	}
+	e.record.clear(now, func(c Crash) bool { return c.Runner == runner })
+	return true
+}
+
+// EndTrial records that a trial call has ended without showing anything.
+func (t *Table) EndTrial(content Content) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e, ok := t.entries[content]; ok {
+		e.trialAt = time.Time{}
+	}
+}
+
+// Lift clears a call for all runners and returns its record as it was before;
+// false if the call is not on record.
+func (t *Table) Lift(now time.Time, content Content) (Record, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.entries[content]
+	if !ok || len(e.record.Crashes) == 0 {
+		return Record{}, false
+	}
+	before := e.record
+	e.record.clear(now, func(Crash) bool { return true })
+	return before, true
+}
+
+// Merge merges another node's record and reports whether that changed anything,
+// and whether it blocked the call.
+func (t *Table) Merge(now time.Time, r Record) (changed, blocked bool) {
+	if r.expired(now) || len(r.Crashes) > _maxCrashes || r.Trips > _maxTrips {
+		return false, false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.entries[r.Content]
+	if !ok {
+		if len(r.Crashes) == 0 {
+			return false, false
+		}
+		t.add(now, r)
+		return true, r.Trips > 0
+	}
+	trips := e.record.Trips
+	generation := e.record.Generation
+	if !e.record.merge(now, r) {
+		return false, false
+	}
+	if e.record.Generation != generation {
+		e.sound = nil
+	}
+	return true, e.record.Trips > trips
+}
+
+// Shared returns the records to send to other nodes: those of blocked calls
+// first, then those with most crashes, then the newest.
+func (t *Table) Shared(now time.Time) []Record {
+	if t.Empty() {
+		return nil
+	}
+	records := t.Records(now)
+	return records[:min(_maxSharedRecords, len(records))]
+}
+
+// Records returns all records in the order of Shared, and drops those that have
+// expired.
+func (t *Table) Records(now time.Time) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.prune(now)
+	records := make([]Record, 0, len(t.entries))
+	for _, e := range t.entries {
+		records = append(records, e.record)
+	}
+	slices.SortFunc(records, byWeight)
+	return records
+}
+
+// BlockedCount returns the number of calls that are in a block.
+func (t *Table) BlockedCount(now time.Time) int {
+	count := 0
+	for _, r := range t.Records(now) {
+		if r.Blocked(now) {
+			count++
+		}
+	}
+	return count
+}
+
+// RefusedCount returns how many calls were blocked so far.
+func (t *Table) RefusedCount() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.refused
+}
+
+// byWeight orders records by how much they matter, the most important first.
+func byWeight(a, b Record) int {
+	return cmp.Or(
+		cmp.Compare(b.Trips, a.Trips),
+		cmp.Compare(len(b.Crashes), len(a.Crashes)),
+		b.ChangedAt.Compare(a.ChangedAt),
+		slices.Compare(a.Content[:], b.Content[:]),
+	)
+}
+
+// add adds an entry for a record. If the table is full, it drops the expired
+// records or else the least important one. The caller holds t.mu.
+func (t *Table) add(now time.Time, r Record) *entry {
+	if len(t.entries) >= _maxRecords {
+		t.prune(now)
+	}
+	if len(t.entries) >= _maxRecords {
+		var least *entry
+		for _, e := range t.entries {
+			if least == nil || byWeight(e.record, least.record) > 0 {
+				least = e
+			}
+		}
+		t.remove(least)
+	}
+	e := &entry{record: r}
+	t.entries[r.Content] = e
+	t.targets[r.Target]++
+	t.size.Store(int64(len(t.entries)))
+	return e
+}
+
+// remove removes an entry. The caller holds t.mu.
+func (t *Table) remove(e *entry) {
+	target := e.record.Target
+	delete(t.entries, e.record.Content)
+	if t.targets[target]--; t.targets[target] == 0 {
+		delete(t.targets, target)
+	}
+	t.size.Store(int64(len(t.entries)))
+}
+
+// prune removes the expired records. The caller holds t.mu.
+func (t *Table) prune(now time.Time) {
+	for _, e := range t.entries {
+		if e.record.expired(now) {
+			t.remove(e)
+		}
+	}
+}
+
+// stagger returns how much later than the end of a block this node lets the
+// first trial call through.
+func (t *Table) stagger(content Content) time.Duration {
+	hash := xxhash.Sum64(append(content[:], t.self...))
+	const steps = 1 << 16
+	return _trialStagger * time.Duration(hash%steps) / steps
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -20,6 +20,8 @@
 	gauge("membersGone", func() uint64 { return uint64(len(n.members.Members()) - n.members.MemberCount()) })
 	gauge("ordersUnderWay", func() uint64 { return uint64(len(n.orderTable.Active())) })
 	gauge("quarantines", func() uint64 { return uint64(len(n.quarantines.All())) })
+	gauge("callsBlocked", func() uint64 { return uint64(n.crashes.BlockedCount(n.deps.Now())) })
+	gauge("blockedCallsRefused", n.crashes.RefusedCount)
 	gauge("identitiesKept", func() uint64 { return uint64(n.identities.Len()) })
 	gauge("callersClosedIdle", n.callerConns.ClosedCount)
 	gauge("requestsAtIdleClose", n.callerConns.CrossedCount)
--- a/node/node.go
+++ b/node/node.go
@@ -23,6 +23,7 @@
 	"lentilferry.example/lentilferry/common/meter"
 	"lentilferry.example/lentilferry/config"
 	"lentilferry.example/lentilferry/control"
+	"lentilferry.example/lentilferry/crash"
 	"lentilferry.example/lentilferry/distribution"
 	"lentilferry.example/lentilferry/evidence"
 	"lentilferry.example/lentilferry/identity"
@@ -184,6 +185,7 @@
 	replica          *distribution.Replica
 	committer        *revision.Committer
 	quarantines      *quarantine.Set
+	crashes          *crash.Table
 	gossip           *peer.Gossip
 	clients          *peer.Clients
 	collector        *evidence.Collector
@@ -285,6 +287,7 @@
 		deps:             deps,
 		holder:           revision.NewHolder(),
 		quarantines:      quarantine.New(),
+		crashes:          crash.New(string(deps.ID)),
 		collector:        evidence.NewCollector(),
 		recorder:         evidence.NewRecorder(deps.Upstream.Version),
 		appliedRevisions: membership.NewAppliedRevisions(),
@@ -341,6 +344,7 @@
 		Holder:      n.holder,
 		Replica:     n.replica,
 		Quarantines: n.quarantines,
+		Crashes:     n.crashes,
 		Orders:      n,
 		UpdateRelay: n,
 		IsActive:    n.isActive,
@@ -373,6 +377,7 @@
 		AllowCloseDelimited: n.upstreamRegistry != nil,
 		Gate:                n.gate,
 		Identities:          n.identities,
+		Crashes:             n.crashes,
 		Observer:            n.recorder,
 		Metrics:             call.NewMetrics(n.metrics, "owner"),
 		Logger:              n.deps.Logger,
@@ -388,6 +393,8 @@
 		Dialect:          n.deps.Dialect,
 		Budgets:          retry.NewBudgets[config.ServiceName](n.deps.Retries),
 		NodeCount:        n.members.MemberCount,
+		Crashes:          n.crashes,
+		CrashesChanged:   func() { n.broadcasts.Add(membership.ScopeAllZones) },
 		ShareSlotsFairly: n.upstreamRegistry == nil,
 		Metrics:          call.NewMetrics(n.metrics, "ingress"),
 		Logger:           n.deps.Logger,
--- a/peer/client_test.go
+++ b/peer/client_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"lentilferry.example/lentilferry/crash"
 	lentilferryv1 "lentilferry.example/lentilferry/gen/lentilferry/v1"
 	"lentilferry.example/lentilferry/gen/lentilferry/v1/lentilferryv1connect"
 	"lentilferry.example/lentilferry/membership"
@@ -105,7 +106,7 @@
 	defer transport.CloseIdleConnections()
 	peer, address := startFakePeer(t)
 	gossip := NewGossip(GossipDependencies{
-		Table: table, Holder: revision.NewHolder(), Quarantines: quarantine.New(), Orders: noOrders{},
+		Table: table, Holder: revision.NewHolder(), Quarantines: quarantine.New(), Crashes: crash.New("n"), Orders: noOrders{},
 		Clients: NewClients(transport), Now: func() time.Time { return now },
 	})
 	assert.NilError(t, gossip.Exchange(t.Context(), "", address))
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
+	"lentilferry.example/lentilferry/crash"
 	"lentilferry.example/lentilferry/distribution"
 	lentilferryv1 "lentilferry.example/lentilferry/gen/lentilferry/v1"
 	"lentilferry.example/lentilferry/gen/lentilferry/v1/lentilferryv1connect"
@@ -63,6 +64,7 @@
 	Holder      *revision.Holder
 	Replica     *distribution.Replica
 	Quarantines *quarantine.Set
+	Crashes     *crash.Table
 	Orders      Orders
 	UpdateRelay UpdateRelay
 	// IsActive reports whether a rollout is in progress, as far as this node
@@ -160,6 +162,7 @@
 		digests:     response.Msg.GetDigests(),
 		quarantines: response.Msg.GetQuarantines(),
 		orders:      response.Msg.GetOrders(),
+		crashes:     response.Msg.GetCrashRecords(),
 	})
 	if response.Msg.GetRevision() > g.deps.Holder.Number() {
 		go g.pullAndRelay(context.WithoutCancel(ctx), peer, membership.NodeID(response.Msg.GetFrom()))
@@ -176,6 +179,8 @@
 		Revision:    g.deps.Holder.Number(),
 		Quarantines: wire.EncodeQuarantines(g.deps.Quarantines.All()),
 		Orders:      wire.EncodeOrders(g.deps.Orders.Orders(now)),
+
+		CrashRecords: wire.EncodeCrashRecords(now, g.deps.Crashes.Shared(now)),
 	}
 }
 
@@ -186,6 +191,7 @@
 	digests     []*lentilferryv1.ZoneDigest
 	quarantines []*lentilferryv1.Quarantine
 	orders      []*lentilferryv1.Order
+	crashes     []*lentilferryv1.CrashRecord
 }
 
 // merge merges a peer's state and forwards what was new.
@@ -208,11 +214,26 @@
 			g.deps.Logger.Info("Quarantined version", "zone", q.Zone, "service", q.Service, "version", q.Version, "reason", q.Reason)
 		}
 	}
+	changed = g.mergeCrashes(now, state.crashes) || changed
 	if changed {
 		g.deps.UpdateRelay.RelayUpdates(g.deps.Table.ZoneOf(state.from), records)
 	}
 }
 
+// mergeCrashes merges a peer's records of crashes and reports whether any was
+// new.
+func (g *Gossip) mergeCrashes(now time.Time, messages []*lentilferryv1.CrashRecord) bool {
+	changed := false
+	for _, r := range wire.DecodeCrashRecords(now, messages) {
+		isNew, blocked := g.deps.Crashes.Merge(now, r)
+		changed = changed || isNew
+		if blocked {
+			g.deps.Logger.Info("Blocked call that crashes upstreams", "content", r.Content.String(), "label", r.Label, "wait", r.BlockedUntil().Sub(now))
+		}
+	}
+	return changed
+}
+
 // HandleExchange merges the state in a peer's exchange request and returns the
 // response.
 func (g *Gossip) HandleExchange(request *lentilferryv1.ExchangeRequest) *lentilferryv1.ExchangeResponse {
@@ -222,6 +243,7 @@
 		digests:     request.GetDigests(),
 		quarantines: request.GetQuarantines(),
 		orders:      request.GetOrders(),
+		crashes:     request.GetCrashRecords(),
 	})
 	now := g.deps.Now()
 	self := g.deps.Table.Self()
@@ -238,6 +260,8 @@
 		Digests:     wire.EncodeDigests(g.deps.Table.Digests(now)),
 		Quarantines: wire.EncodeQuarantines(g.deps.Quarantines.All()),
 		Orders:      wire.EncodeOrders(g.deps.Orders.Orders(now)),
+
+		CrashRecords: wire.EncodeCrashRecords(now, g.deps.Crashes.Shared(now)),
 	}
 }
 
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"lentilferry.example/lentilferry/config"
+	"lentilferry.example/lentilferry/crash"
 	"lentilferry.example/lentilferry/internal/testseed"
 	"lentilferry.example/lentilferry/membership"
 	"lentilferry.example/lentilferry/rollout"
@@ -77,3 +78,17 @@
 	assert.Assert(t, cmp.DeepEqual(wire.DecodeMembers(messages)[0].Slots, wellFormed.Slots))
 	assert.Equal(t, len(wire.DecodeMembers(messages)), 1)
 }
+
+func TestCrashRecordsRoundTrip(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	runner := crash.Runner{Service: "desk", Version: "v1"}
+	record := crash.Record{
+		Content: crash.Content{1}, Target: crash.Target{2}, Label: "GET h/p", Generation: 3, Trips: 1,
+		ChangedAt: now.Add(-5 * time.Second),
+		Crashes:   []crash.Crash{{Process: 1 << 63, Runner: runner, StartedAt: now.Add(-7 * time.Second), At: now.Add(-6 * time.Second)}},
+	}
+	messages := wire.EncodeCrashRecords(now, []crash.Record{record})
+	assert.DeepEqual(t, wire.DecodeCrashRecords(now, messages), []crash.Record{record})
+	messages[0].Content = messages[0].GetContent()[1:]
+	assert.Equal(t, len(wire.DecodeCrashRecords(now, messages)), 0)
+}
