node: Test that calls running beside crashes are not blocked

Such a call must be served meanwhile, and every one soon after the last crash, also if it takes longer than an upstream lasts and was never answered before.

--- a/node/crashing_call_integration_test.go
+++ b/node/crashing_call_integration_test.go
@@ -22,10 +22,15 @@
 const (
 	_crashingPath = "/slips/crashing"
 	_plainPath    = "/slips/plain"
+	_slowPath     = "/slips/slow"
+	_longPath     = "/slips/long"
 	// _upstreamDowntime is how long a crashed upstream is down.
 	_upstreamDowntime = 300 * time.Millisecond
-	// _plainTime is how long an upstream takes for a plain call.
+	// _plainTime, _slowTime and _longTime are how long an upstream takes for a
+	// call.
 	_plainTime = 5 * time.Millisecond
+	_slowTime  = 300 * time.Millisecond
+	_longTime  = time.Second
 	// After _crashesToBlock crashes and then _blockedWithin, a call may reach
 	// upstreams _maxLateRuns times more.
 	_crashesToBlock = 3
@@ -76,7 +81,13 @@
 
 func (u *crashingUpstream) serve(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
-	if r.URL.Path == _crashingPath {
+	takes := _plainTime
+	switch r.URL.Path {
+	case _slowPath:
+		takes = _slowTime
+	case _longPath:
+		takes = _longTime
+	case _crashingPath:
 		u.mu.Lock()
 		u.runs = append(u.runs, time.Now())
 		u.mu.Unlock()
@@ -84,7 +95,7 @@
 		return
 	}
 	select {
-	case <-time.After(_plainTime):
+	case <-time.After(takes):
 	case <-r.Context().Done():
 		return
 	}
@@ -164,20 +175,29 @@
 	return response.StatusCode
 }
 
+// crashCaseCall is a call that has ended.
+type crashCaseCall struct {
+	node            *hostedNode
+	sentAt, endedAt time.Time
+	// status is 0 if there was no response.
+	status int
+}
+
 // sendFor sends a call to the nodes in turn, at an interval, for a duration. It
-// passes each status and when the call was sent to record, one at a time.
-func (c *crashCase) sendFor(duration, interval time.Duration, path string, record func(sentAt time.Time, status int)) {
+// passes each to record when it has ended, one at a time.
+func (c *crashCase) sendFor(duration, interval time.Duration, path string, record func(crashCaseCall)) {
 	nodes := c.nodes
 	c.sending.Go(func() {
 		var mu sync.Mutex
 		var waiting sync.WaitGroup
 		for began, i := time.Now(), 0; time.Since(began) < duration; i++ {
 			waiting.Go(func() {
-				sentAt := time.Now()
-				status := c.get(nodes[i%len(nodes)], path)
+				call := crashCaseCall{node: nodes[i%len(nodes)], sentAt: time.Now()}
+				call.status = c.get(call.node, path)
+				call.endedAt = time.Now()
 				mu.Lock()
 				defer mu.Unlock()
-				record(sentAt, status)
+				record(call)
 			})
 			time.Sleep(interval)
 		}
@@ -214,14 +234,14 @@
 	c := newCrashCase(t, 6)
 	began := time.Now()
 	statuses := make(map[int]int)
-	c.sendFor(7*time.Second, 50*time.Millisecond, _crashingPath, func(_ time.Time, status int) { statuses[status]++ })
+	c.sendFor(7*time.Second, 50*time.Millisecond, _crashingPath, func(call crashCaseCall) { statuses[call.status]++ })
 	var plainSent, plainServed int
-	c.sendFor(7*time.Second, 20*time.Millisecond, _plainPath, func(sentAt time.Time, status int) {
-		if sentAt.Sub(began) < 5*time.Second {
+	c.sendFor(7*time.Second, 20*time.Millisecond, _plainPath, func(call crashCaseCall) {
+		if call.sentAt.Sub(began) < 5*time.Second {
 			return
 		}
 		plainSent++
-		if status == http.StatusOK {
+		if call.status == http.StatusOK {
 			plainServed++
 		}
 	})
@@ -239,3 +259,79 @@
 	assert.Check(t, plainServed*10 >= plainSent*9, "%d of %d plain calls served", plainServed, plainSent)
 	c.waitUntilPlainCallsAreServed()
 }
+
+func TestCallsBesideCrashesAreNotBlocked(t *testing.T) {
+	const crashesLast = 4 * time.Second
+	inTurn := func(c *crashCase) {
+		for i, began := 0, time.Now(); time.Since(began) < crashesLast; i++ {
+			c.upstreams[i%len(c.upstreams)].crash()
+			time.Sleep(150 * time.Millisecond)
+		}
+	}
+	atOnce := func(c *crashCase) {
+		for began := time.Now(); time.Since(began) < crashesLast; {
+			for _, u := range c.upstreams {
+				u.crash()
+			}
+			time.Sleep(time.Second)
+		}
+	}
+	for name, test := range map[string]struct {
+		path     string
+		interval time.Duration
+		crash    func(*crashCase)
+		// minServed is the share of the calls that must be served while upstreams
+		// crash, and maxGap the longest time in which a node may serve none.
+		minServed float64
+		maxGap    time.Duration
+		// servedWithin is how long after the last crash all calls must be served.
+		servedWithin time.Duration
+	}{
+		"short calls, crashes in turn":               {_plainPath, 2 * time.Millisecond, inTurn, 0.95, 500 * time.Millisecond, time.Second},
+		"slow calls, crashes in turn":                {_slowPath, 20 * time.Millisecond, inTurn, 0.6, 1500 * time.Millisecond, time.Second},
+		"slow calls, crashes at once":                {_slowPath, 20 * time.Millisecond, atOnce, 0.35, 1500 * time.Millisecond, time.Second},
+		"calls that take longer than upstreams last": {_longPath, 50 * time.Millisecond, atOnce, 0, crashesLast + 3*time.Second, 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCrashCase(t, 6)
+			began := time.Now()
+			var sent, served, refused, sentAfter, servedAfter int
+			var longest time.Duration
+			servedAt := make(map[*hostedNode]time.Time)
+			for _, n := range c.nodes {
+				servedAt[n] = began
+			}
+			c.sendFor(crashesLast+test.servedWithin+time.Second, test.interval, test.path, func(call crashCaseCall) {
+				isServed := call.status == http.StatusOK
+				if isServed {
+					longest = max(longest, call.endedAt.Sub(servedAt[call.node]))
+					servedAt[call.node] = call.endedAt
+				}
+				switch after := call.sentAt.Sub(began); {
+				case after < crashesLast:
+					sent++
+					if isServed {
+						served++
+					}
+					if call.status == http.StatusServiceUnavailable {
+						refused++
+					}
+				case after > crashesLast+test.servedWithin:
+					sentAfter++
+					if isServed {
+						servedAfter++
+					}
+				}
+			})
+			test.crash(c)
+			c.sending.Wait()
+			for _, at := range servedAt {
+				longest = max(longest, time.Since(at))
+			}
+			t.Logf("%d of %d served and %d refused; longest gap of a node %s; afterwards %d of %d served", served, sent, refused, longest, servedAfter, sentAfter)
+			assert.Check(t, float64(served) >= test.minServed*float64(sent), "%d of %d calls served while upstreams crash", served, sent)
+			assert.Check(t, longest <= test.maxGap, "a node served no call for %s", longest)
+			assert.Check(t, servedAfter == sentAfter, "%d of %d calls served after the crashes", servedAfter, sentAfter)
+		})
+	}
+}
