--- a/node/crashing_call_integration_test.go
+++ b/node/crashing_call_integration_test.go
@@ -145,12 +145,12 @@
 	sending   sync.WaitGroup
 }
 
-// newCrashCase starts nodes in two zones and waits until they serve plain calls.
-func newCrashCase(t *testing.T, count int) *crashCase {
+// newCrashCase starts six nodes in two zones and waits until they serve plain calls.
+func newCrashCase(t *testing.T) *crashCase {
 	t.Helper()
 	c := &crashCase{hostedCluster: newHostedCluster(t)}
 	c.configure(2, `,{"name":"slips","path-prefix":"/slips/","kind":"idempotent","timeout":"2s","service":"desk","attempts":2}`)
-	for i := range count {
+	for i := range 6 {
 		c.upstreams = append(c.upstreams, c.startCrashing(fmt.Sprint("n", i), []membership.Zone{"a", "b"}[i%2]))
 	}
 	c.waitUntilPlainCallsAreServed()
@@ -231,7 +231,7 @@
 }
 
 func TestCallThatCrashesUpstreamsReachesFewOfThem(t *testing.T) {
-	c := newCrashCase(t, 6)
+	c := newCrashCase(t)
 	began := time.Now()
 	statuses := make(map[int]int)
 	c.sendFor(7*time.Second, 50*time.Millisecond, _crashingPath, func(call crashCaseCall) { statuses[call.status]++ })
@@ -293,7 +293,7 @@
 		"calls that take longer than upstreams last": {_longPath, 50 * time.Millisecond, atOnce, 0, crashesLast + 3*time.Second, 2 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
-			c := newCrashCase(t, 6)
+			c := newCrashCase(t)
 			began := time.Now()
 			var sent, served, refused, sentAfter, servedAfter int
 			var longest time.Duration
@@ -335,3 +335,45 @@
 		})
 	}
 }
+
+func TestSlowCallsBesideCrashingCallAreServed(t *testing.T) {
+	c := newCrashCase(t)
+	began := time.Now()
+	c.sendFor(8*time.Second, 100*time.Millisecond, _crashingPath, func(crashCaseCall) {})
+	var sent, served int
+	c.sendFor(8*time.Second, 20*time.Millisecond, _slowPath, func(call crashCaseCall) {
+		if call.sentAt.Sub(began) < 4*time.Second {
+			return
+		}
+		sent++
+		if call.status == http.StatusOK {
+			served++
+		}
+	})
+	c.sending.Wait()
+	assert.Check(t, served*20 >= sent*19, "%d of %d slow calls served", served, sent)
+}
+
+func TestRestartedNodeKnowsBlockedCalls(t *testing.T) {
+	c := newCrashCase(t)
+	sendFor := func(d time.Duration) {
+		c.sendFor(d, 50*time.Millisecond, _crashingPath, func(crashCaseCall) {})
+		c.sending.Wait()
+	}
+	sendFor(4 * time.Second)
+	crashed := len(c.runTimes())
+	assert.Assert(t, crashed >= _crashesToBlock, "%d crashes", crashed)
+	for _, u := range c.upstreams[:2] {
+		u.node.cancel()
+		<-u.node.done
+	}
+	c.nodes = c.nodes[2:]
+	for _, id := range []string{"n0", "new"} {
+		c.upstreams = append(c.upstreams, c.startCrashing(id, "a"))
+	}
+	c.callUntil("the started nodes see the others", c.serving(6))
+	c.nodes = c.nodes[4:]
+	sendFor(4 * time.Second)
+	late := len(c.runTimes()) - crashed
+	assert.Check(t, late <= _maxLateRuns, "%d runs of calls that were sent to the started nodes", late)
+}
