crash: End the first block of a call after a second

Seen: TestCallsBesideCrashesAreNotBlocked, calls that take longer than their upstreams last: all upstreams end each second for another reason, no call is ever answered, and after three rounds the call is blocked. The upstreams were well again, but the call stayed refused for a minute: 0 of 20 served after the crashes (before the blocks: all).

Cause: such a call can't be told from one that ends the upstreams by what was seen, and a first block of a minute took it for certain.

Change: the first block lasts a second; each trial that crashes an upstream makes the next longer, 6 s, 36 s, then a minute. Nodes let their trials through one after the other, spaced by up to a second times the number of nodes, in place of within 20 s. Three seconds after a third crash, that is one trial within 7 s and the next after 43 s.

Measured: all cases of the test pass; in the last, 20 of 20 after the crashes, the longest gap of a node 5.1 s of 7. TestCallThatCrashesUpstreamsReachesFewOfThem: 4 crashes, none late.

--- a/call/ingress_crash.go
+++ b/call/ingress_crash.go
@@ -32,7 +32,7 @@
 	if !known {
 		return Result{Outcome: Answered}
 	}
-	verdict, wait := deps.Crashes.Check(deps.Now(), content, runnerOf(endpoint))
+	verdict, wait := deps.Crashes.Check(deps.Now(), content, runnerOf(endpoint), deps.NodeCount())
 	if verdict == crash.Allowed {
 		return Result{Outcome: Answered}
 	}
--- a/crash/record.go
+++ b/crash/record.go
@@ -10,12 +10,15 @@
 const (
 	// Threshold is how many processes a call crashes before it is blocked.
 	Threshold = 3
-	// _minBlock is how long a call is blocked at first. Each trial call that
-	// crashes an upstream doubles it, up to _maxBlock.
-	_minBlock = time.Minute
-	_maxBlock = time.Hour
-	// _memory is how long a crash counts, and how long a call is remembered at
-	// least after its block has ended.
+	// _minBlock is how long a call is blocked at first. It is short because
+	// upstreams may have crashed for another reason and be well again. Each trial
+	// call that crashes an upstream makes the next block _blockGrowth times as
+	// long, up to _maxBlock.
+	_minBlock    = time.Second
+	_blockGrowth = 6
+	_maxBlock    = time.Minute
+	// _memory is how long a crash counts, and how long a call is remembered after
+	// its block has ended.
 	_memory = 2 * time.Minute
 	// _maxCrashes bounds the crashes of a record.
 	_maxCrashes = 8
@@ -74,7 +77,11 @@
 }
 
 func (r *Record) blockDuration() time.Duration {
-	return min(_maxBlock, _minBlock<<(min(r.Trips, _maxTrips)-1))
+	duration := _minBlock
+	for trip := uint32(1); trip < r.Trips && duration < _maxBlock; trip++ {
+		duration *= _blockGrowth
+	}
+	return min(duration, _maxBlock)
 }
 
 // expired reports whether the record no longer matters.
@@ -82,7 +89,7 @@
 	if r.Trips == 0 {
 		return now.Sub(r.ChangedAt) > _memory
 	}
-	return now.Sub(r.BlockedUntil()) > max(_memory, r.blockDuration())
+	return now.Sub(r.BlockedUntil()) > _memory
 }
 
 // hasCrashed reports whether the call has crashed a process of the runner.
--- a/crash/table.go
+++ b/crash/table.go
@@ -18,10 +18,12 @@
 	// _trialTimeout is how long a node waits for the outcome of a trial call
 	// before it lets the next one through.
 	_trialTimeout = 10 * time.Second
-	// _trialStagger bounds how much later than others a node lets its first
-	// trial call through after a block has ended, so that nodes don't all try at
-	// once.
-	_trialStagger = 20 * time.Second
+	// _maxTrialSpacing is the time between the first trial calls that two nodes
+	// let through after a block has ended, so that the outcome of one is known
+	// before the next. After a short block it is the block's length divided by
+	// _trialSpacingDivisor.
+	_maxTrialSpacing     = time.Second
+	_trialSpacingDivisor = 6
 )
 
 // Verdict says what to do with a call.
@@ -108,8 +110,9 @@
 }
 
 // Check returns the verdict on a call that is about to be sent to a runner, and
-// for a blocked one the time until it is worth trying again.
-func (t *Table) Check(now time.Time, content Content, runner Runner) (Verdict, time.Duration) {
+// for a blocked one the time until it is worth trying again. The nodes, of which
+// there are as many as given, let trial calls through one after the other.
+func (t *Table) Check(now time.Time, content Content, runner Runner, nodes int) (Verdict, time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e, ok := t.entries[content]
@@ -118,7 +121,7 @@
 	}
 	until := e.record.BlockedUntil()
 	if e.record.hasCrashed(runner) {
-		until = until.Add(t.stagger(content))
+		until = until.Add(t.trialDelay(&e.record, nodes))
 	} else {
 		// Another version may run the call well.
 		until = now
@@ -332,12 +335,13 @@
 	}
 }
 
-// stagger returns how much later than the end of a block this node lets the
+// trialDelay returns how much later than the end of a block this node lets the
 // first trial call through.
-func (t *Table) stagger(content Content) time.Duration {
-	hash := xxhash.Sum64(append(content[:], t.self...))
+func (t *Table) trialDelay(r *Record, nodes int) time.Duration {
 	const steps = 1 << 16
-	return _trialStagger * time.Duration(hash%steps) / steps
+	place := xxhash.Sum64(append(slices.Clone(r.Content[:]), t.self...)) % steps
+	spacing := min(_maxTrialSpacing, r.blockDuration()/_trialSpacingDivisor)
+	return spacing * time.Duration(max(1, nodes)) * time.Duration(place) / steps
 }
 
 func later(a, b time.Time) time.Time {
