node, call: Answer the calls that a planned stop interrupts

Callers whose calls were still in flight at the drain timeout of a planned stop saw a closed connection without an answer, though the call had been passed on to an upstream. Calls whose bodies come slowly were cut the same way.

Cause: at the timeout the node closed its servers, and with them the connections. The handlers learned of it from the closed connection, when nothing could be written any more. A handler may also wait for the caller's body, and net/http reads the rest of a short body before it sends the head of an answer.

Change: the contexts of calls derive from one that the stop cancels with a cause, and the reads of unfinished bodies are ended. The callers get the reason "interrupted", or "draining" if nothing had been sent. The node waits up to 0.3 s until these answers were sent before it closes the servers. No call is interrupted earlier than before.

--- a/call/ingress_result.go
+++ b/call/ingress_result.go
@@ -14,7 +14,12 @@
 
 // classifyFailure returns the result of an attempt that got no response.
 func classifyFailure(ctx context.Context, tracker *writeTracker) Result {
+	interrupted := errors.Is(context.Cause(ctx), ErrInterrupted)
 	switch {
+	case tracker.nothingSent() && interrupted:
+		return Result{Outcome: NotRun, Reason: Reason(admission.ReasonDraining)}
+	case interrupted:
+		return Result{Outcome: Unknown, Reason: ReasonInterrupted}
 	case tracker.nothingSent() && ctx.Err() != nil:
 		return Result{Outcome: NotRun, Reason: ReasonDeadline}
 	case tracker.nothingSent():
--- a/call/outcome.go
+++ b/call/outcome.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Outcome tells whether a call was run.
@@ -95,8 +97,14 @@
 	ReasonUpstreamRefused Reason = "upstream-refused"
 	// ReasonCanceled means that the caller closed its connection.
 	ReasonCanceled Reason = "canceled"
+	// ReasonInterrupted means that a node had to stop before the call had ended.
+	ReasonInterrupted Reason = "interrupted"
 )
 
+// ErrInterrupted is the cause with which a node that has to stop cancels the
+// contexts of the calls in flight.
+var ErrInterrupted = errors.New("the node has to stop")
+
 // Headers of requests and responses.
 const (
 	// HeaderOutcome is the Outcome, set on each response that is not an
--- a/call/owner.go
+++ b/call/owner.go
@@ -345,7 +345,7 @@
 	if (result.Reason == ReasonUnreachable || result.Reason == ReasonUpstreamCrashed) && o.deps.Process != nil {
 		o.deps.Process.ReportUnreachable(o.deps.Now(), c.process)
 	}
-	c.recordUnanswered(result.Reason != ReasonCanceled)
+	c.recordUnanswered(result.Reason != ReasonCanceled && result.Reason != ReasonInterrupted)
 	o.deps.Logger.Info("Upstream did not respond", "call", c.forwarded.id, "process", c.process,
 		"outcome", result.Outcome.String(), "reason", result.Reason, "ranFor", o.deps.Now().Sub(c.admittedAt))
 	return result
--- a/node/caller_conns.go
+++ b/node/caller_conns.go
@@ -139,6 +139,21 @@
 	return len(c.open)
 }
 
+// stopReading ends the reading of requests whose bodies have not arrived: their
+// handlers wait for the bodies, and the server reads the rest of a body before
+// it sends the response. It doesn't affect HTTP/2 connections, which the server
+// never reports as active.
+func (c *callerConns) stopReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, entry := range c.open {
+		if entry.inUse {
+			// Fails only on a closed connection.
+			_ = conn.SetReadDeadline(_pastDeadline)
+		}
+	}
+}
+
 // drain ends each connection once its response was sent, until none is left or
 // the context ends.
 func (c *callerConns) drain(ctx context.Context) {
--- a/node/node.go
+++ b/node/node.go
@@ -478,11 +478,13 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
-	servers := n.servers()
+	calls, interrupt := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer interrupt(nil)
+	servers := n.servers(calls)
 	for _, s := range servers {
 		group.Go(func() error { return serve(s) })
 	}
-	group.Go(func() error { return n.shutdown(ctx, cancel, servers) })
+	group.Go(func() error { return n.shutdown(ctx, cancel, interrupt, servers) })
 	n.startLoops(ctx, group)
 	err := group.Wait()
 	for _, transport := range n.transports {
--- /dev/null
+++ b/node/planned_stop_integration_test.go
@@ -0,0 +1,91 @@
+package node_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// exchange sends a request as written on a connection of its own and returns
+// the status of the complete answer, 0 if there is none.
+func (c *hostedCluster) exchange(n *hostedNode, request string) int {
+	conn, err := net.Dial("tcp", strings.TrimPrefix(n.calls, "http://"))
+	assert.Check(c.t, err)
+	defer func() { _ = conn.Close() }()
+	assert.Check(c.t, conn.SetDeadline(time.Now().Add(_waitTimeout)))
+	_, err = io.WriteString(conn, request)
+	assert.Check(c.t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err := io.ReadAll(response.Body); err != nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
+// request returns a request of which only a part of the body is sent, as the
+// headers say.
+func (c *hostedCluster) request(headers, body string) string {
+	return fmt.Sprintf("POST /batches/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a%d\r\nX-Deadline-Ms: 3000\r\n%s\r\n\r\n%s",
+		c.ids.Add(1), headers, body)
+}
+
+// Calls that a planned stop interrupts are answered, on every way to the
+// upstream and however slowly their bodies come.
+func TestCallCutAtEndOfStopIsAnswered(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// remote is set if another node owns the upstream, and ownerStops if that
+		// one is stopped.
+		remote, ownerStops bool
+		headers, body      string
+	}{
+		{"own upstream", false, false, "Content-Length: 1", "b"},
+		{"upstream of another node", true, false, "Content-Length: 1", "b"},
+		{"owner stops", true, true, "Content-Length: 1", "b"},
+		{"slow short body", false, false, "Content-Length: 9", "b"},
+		{"slow long body", false, false, "Content-Length: 90000", "b"},
+		{"slow body without a length", false, false, "Transfer-Encoding: chunked", "1\r\nb\r\n"},
+		{"slow short body to another node", true, false, "Content-Length: 9", "b"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := newHostedCluster(t, "v1")
+			caller := c.nodes[0]
+			serving := caller
+			if test.remote {
+				c.start("n1", "z", "v1")
+				serving = c.nodes[1]
+			}
+			c.callUntil("all serve", c.serving(len(c.nodes)))
+			if test.remote {
+				caller.announce(true)
+				c.callUntil("one takes calls", c.serving(1))
+			}
+			serving.hanging.Store(true)
+			status := make(chan int, 1)
+			go func() { status <- c.exchange(caller, c.request(test.headers, test.body)) }()
+			time.Sleep(200 * time.Millisecond)
+			stopping := caller
+			if test.ownerStops {
+				stopping = serving
+			}
+			began := time.Now()
+			stopping.Stop()
+			assert.Equal(t, <-status, http.StatusBadGateway)
+			took := time.Since(began)
+			<-stopping.done
+			assert.Assert(t, took >= _drainTimeout-10*time.Millisecond, "interrupted after %s", took)
+			assert.Assert(t, time.Since(began) < _drainTimeout+600*time.Millisecond, "stopped after %s", time.Since(began))
+		})
+	}
+}
--- a/node/servers.go
+++ b/node/servers.go
@@ -24,12 +24,16 @@
 	listener net.Listener
 }
 
-// servers returns the servers for all of the node's listeners.
-func (n *Node) servers() []boundServer {
+// servers returns the servers for all of the node's listeners. The contexts of
+// calls are derived from callsCtx.
+func (n *Node) servers(callsCtx context.Context) []boundServer {
+	newContext := func(net.Listener) context.Context { return callsCtx }
 	calls := n.newServer(n.ingress)
+	calls.BaseContext = newContext
 	calls.ConnState = func(conn net.Conn, state http.ConnState) { n.callerConns.trackState(n.deps.Now(), conn, state) }
 	peers := n.newServer(n.peerHandler())
 	peers.ConnState = func(conn net.Conn, state http.ConnState) { n.peerConns.trackState(n.deps.Now(), conn, state) }
+	peers.BaseContext = newContext
 	peers.ConnContext = meter.ConnContext
 	admin := n.newServer(n.adminHandler())
 	const ownSockets = 3
@@ -130,14 +134,16 @@
 	// _leaveNotifyTimeout bounds these notifications, so that peers that do not
 	// answer do not use up the time that a planned stop has.
 	_leaveNotifyTimeout = 300 * time.Millisecond
+	// _answerTimeout bounds the time in which interrupted calls are answered.
+	_answerTimeout = 300 * time.Millisecond
 	// _closeTimeout bounds closing the servers after the drain; by then no call
 	// is left that could still be answered.
 	_closeTimeout = 200 * time.Millisecond
 )
 
 // shutdown waits for a planned stop or the end of the context, and closes the
-// servers.
-func (n *Node) shutdown(ctx context.Context, cancel context.CancelFunc, servers []boundServer) error {
+// servers. cancel ends the node's context and interrupt those of calls.
+func (n *Node) shutdown(ctx context.Context, cancel context.CancelFunc, interrupt context.CancelCauseFunc, servers []boundServer) error {
 	select {
 	case <-n.stopRequested:
 	case <-ctx.Done():
@@ -146,7 +152,7 @@
 		}
 		return nil
 	}
-	n.drain(ctx)
+	n.drain(ctx, interrupt)
 	var notifying sync.WaitGroup
 	// The node's own context is about to end, so use one that does not.
 	notifying.Go(func() { n.notifyLeaving(context.WithoutCancel(ctx)) })
@@ -173,11 +179,14 @@
 // to other nodes; near the end of Timing.LeaveNotice it tells peers to send no
 // more calls. After LeaveNotice it refuses new calls as not run, waits until
 // in-flight calls have ended and their responses were sent, and releases the
-// controller's lease. Timing.DrainTimeout counts from the start of the drain.
-func (n *Node) drain(ctx context.Context) {
+// controller's lease. Timing.DrainTimeout counts from the start of the drain; the
+// calls that are then still in flight are interrupted and answered.
+func (n *Node) drain(ctx context.Context, interrupt context.CancelCauseFunc) {
 	n.deps.Logger.Info("Draining", "node", n.deps.ID)
 	drainCtx, cancel := context.WithTimeout(ctx, n.deps.Timing.DrainTimeout)
 	defer cancel()
+	answerCtx, cancelAnswers := context.WithTimeout(ctx, n.deps.Timing.DrainTimeout+_answerTimeout)
+	defer cancelAnswers()
 	noticeOver := time.After(n.deps.Timing.LeaveNotice)
 	n.stopping.Store(true)
 	n.ingress.DisableKeepAlives()
@@ -193,13 +202,15 @@
 		n.owner.Wait()
 		n.ingress.Wait()
 		// A server sends the end of a response after its handler has returned.
-		n.callerConns.drain(drainCtx)
-		n.peerConns.drain(drainCtx)
+		n.callerConns.drain(answerCtx)
+		n.peerConns.drain(answerCtx)
 	}()
 	select {
 	case <-finished:
 	case <-drainCtx.Done():
 		n.deps.Logger.Info("Drain timed out, interrupting in-flight calls", "node", n.deps.ID)
+		interrupt(call.ErrInterrupted)
+		n.awaitAnswers(answerCtx, finished)
 	}
 	n.controller.Stop(ctx)
 	n.lifecycle.Leave()
@@ -207,6 +218,25 @@
 	n.deps.Logger.Info("Left", "node", n.deps.ID)
 }
 
+// awaitAnswers waits until the interrupted calls were answered, at most until the
+// context ends.
+func (n *Node) awaitAnswers(ctx context.Context, answered <-chan struct{}) {
+	ticker := time.NewTicker(_drainCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-answered:
+			return
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			// Repeated, since a handler may set another read deadline.
+			n.callerConns.stopReading()
+			n.peerConns.stopReading()
+		}
+	}
+}
+
 // announceLeaving publishes that the node is draining. The lock keeps
 // syncUpstreamState from publishing an earlier state after it.
 func (n *Node) announceLeaving() {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -282,8 +282,9 @@
 }
 
 // _killMargin is how long before the platform kills the process a planned stop
-// stops waiting for in-flight calls. Telling peers and closing the servers takes
-// up to half a second, and the platform's signal may arrive late.
+// stops waiting for in-flight calls. Answering the interrupted ones, telling
+// peers and closing the servers takes up to 0.6 s, and the platform's signal may
+// arrive late.
 const _killMargin = 900 * time.Millisecond
 
 // drainTimeout returns the maximum wait for in-flight calls in a planned stop:
