call, node: Bound calls taken in a planned stop to its end

A call that came late in a planned stop was sent to its upstream although the stop left less time than the call takes. It ran, was interrupted at the end of the stop and came back as unknown: lost if it may not be repeated, though other nodes had the time for it.

Cause: neither the ingress nor the owner compared the time that a call may take with the time that the stop leaves. A call was judged by its route's timeout alone, of up to 8 s.

Evidence: TestCallTakenLateInStopIsCut, on the code before: 502 for 503 with the own upstream, with the upstream of another node, and where only the owner stops. The two cases with enough time left passed before and pass now.

Change: a stop tells ingress and owner its end when it begins. The ingress bounds the deadline of the calls that it accepts from then on, also towards other owners. The owner bounds the deadline by which its gate and its upstream judge a call, but not the time at which a sent call is interrupted. What the route's usual time shows to be too long is refused as not run and sent to another owner.

--- a/call/ingress.go
+++ b/call/ingress.go
@@ -86,6 +86,8 @@
 	keepAlivesDisabled atomic.Bool
 	// stopped is set by StopAccepting.
 	stopped atomic.Bool
+	// timeLimit is set by LimitTime.
+	timeLimit timeLimit
 }
 
 var _ http.Handler = (*Ingress)(nil)
@@ -101,6 +103,12 @@
 	i.keepAlivesDisabled.Store(true)
 }
 
+// LimitTime bounds the time of the calls accepted from now on to the end of a
+// planned stop, so that they are refused if it is too short for them.
+func (i *Ingress) LimitTime(end time.Time) {
+	i.timeLimit.set(end)
+}
+
 // StopAccepting refuses all further calls as not run. Accepted calls continue.
 func (i *Ingress) StopAccepting() {
 	i.stopped.Store(true)
@@ -124,7 +132,7 @@
 		return
 	}
 	now := i.deps.Now()
-	a, reason := i.accept(r)
+	a, reason := i.accept(now, r)
 	if reason != "" {
 		i.refuse(w, r, reason)
 		return
@@ -174,8 +182,8 @@
 // acceptedCall is what accept found out about a call.
 type acceptedCall struct {
 	target *routing.Target
-	// remaining is the time left for the call: the lesser of the caller's and the
-	// route's timeout.
+	// remaining is the time left for the call: the least of the caller's and the
+	// route's timeout and what a planned stop leaves.
 	remaining time.Duration
 	// callerRemaining is how long the caller still waits for the response; the
 	// route's timeout if the caller didn't say.
@@ -212,7 +220,7 @@
 
 // accept matches a call to a route and checks it. The reason is empty if the
 // call is accepted.
-func (i *Ingress) accept(r *http.Request) (acceptedCall, Reason) {
+func (i *Ingress) accept(now time.Time, r *http.Request) (acceptedCall, Reason) {
 	table := i.deps.Routes.Table()
 	if table == nil {
 		return acceptedCall{}, ReasonNoConfig
@@ -236,7 +244,7 @@
 	}
 	callerRemaining := remaining
 	waited := target.EstimateElapsed(callerRemaining)
-	remaining = min(remaining, target.Route.Timeout)
+	remaining = i.timeLimit.apply(now, min(remaining, target.Route.Timeout))
 	if remaining <= 0 {
 		return acceptedCall{}, ReasonDeadline
 	}
--- a/call/owner.go
+++ b/call/owner.go
@@ -84,6 +84,8 @@
 	upstream string
 	// inFlight counts the forwarded calls that have not ended.
 	inFlight sync.WaitGroup
+	// timeLimit is set by LimitTime.
+	timeLimit timeLimit
 }
 
 var _ http.Handler = (*Owner)(nil)
@@ -99,6 +101,13 @@
 	return r.Header.Get(headerCall) != ""
 }
 
+// LimitTime bounds the time of the calls that arrive from now on to the end of a
+// planned stop: a call is refused as not run if its upstream usually takes
+// longer. The time at which a sent call is interrupted doesn't change.
+func (o *Owner) LimitTime(end time.Time) {
+	o.timeLimit.set(end)
+}
+
 // Wait blocks until all forwarded calls have ended.
 func (o *Owner) Wait() {
 	o.inFlight.Wait()
@@ -143,7 +152,7 @@
 // response's body must be closed.
 func (o *Owner) handle(ctx context.Context, r *http.Request, f forwardedCall, remaining time.Duration) (*http.Response, Result) {
 	now := o.deps.Now()
-	c := &ownerCall{owner: o, request: r, forwarded: f, arrivedAt: now, deadline: now.Add(remaining)}
+	c := &ownerCall{owner: o, request: r, forwarded: f, arrivedAt: now, deadline: now.Add(o.timeLimit.apply(now, remaining))}
 	response, result := c.execute(ctx)
 	o.deps.Metrics.count(result)
 	if result.Outcome == Answered {
@@ -184,8 +193,9 @@
 	if result.Outcome != Answered {
 		// Overload counts as a failure of the version, except with an upstream
 		// that announces its slots. That number is exact, so a full queue says
-		// only that there are many calls.
-		if isOverload(result.Reason) && o.deps.Process == nil {
+		// only that there are many calls. During a planned stop, calls are also
+		// refused for the stop's sake.
+		if isOverload(result.Reason) && o.deps.Process == nil && !o.timeLimit.isSet() {
 			c.recordUnanswered(true)
 		}
 		return nil, result
--- a/node/hosted_integration_test.go
+++ b/node/hosted_integration_test.go
@@ -62,6 +62,8 @@
 	// failing makes the upstream fail each call, hanging makes it leave calls
 	// unanswered.
 	failing, hanging atomic.Bool
+	// takes is how long the upstream runs each call, in nanoseconds.
+	takes atomic.Int64
 	// ownsStoreConn reports whether the store's connection from a remote
 	// address belongs to this node.
 	ownsStoreConn func(remote string) bool
@@ -176,6 +178,7 @@
 	n.mu.Lock()
 	n.runs[id]++
 	n.mu.Unlock()
+	time.Sleep(time.Duration(n.takes.Load()))
 	if n.hanging.Load() {
 		select {
 		case <-r.Context().Done():
--- a/node/planned_stop_integration_test.go
+++ b/node/planned_stop_integration_test.go
@@ -40,6 +40,37 @@
 		c.ids.Add(1), headers, body)
 }
 
+// waitUntil waits until a condition holds, and sends no calls meanwhile.
+func (c *hostedCluster) waitUntil(condition string, holds func() bool) {
+	c.t.Helper()
+	for end := time.Now().Add(_waitTimeout); !holds(); time.Sleep(time.Millisecond) {
+		assert.Assert(c.t, time.Now().Before(end), "not met within %s: %s", _waitTimeout, condition)
+	}
+}
+
+// startPair starts a node that callers use and, if remote is set, another one
+// whose upstream alone takes calls, and lets one call be served, which runs for
+// the given time. It returns these two, and the one of them that is to be stopped.
+func (c *hostedCluster) startPair(remote, ownerStops bool, takes time.Duration) (caller, serving, stopping *hostedNode) {
+	c.t.Helper()
+	caller = c.start("n0", "z", "v1")
+	serving, stopping = caller, caller
+	if remote {
+		serving = c.start("n1", "z", "v1")
+	}
+	c.waitUntil("all serve", c.serving(len(c.nodes)))
+	if remote {
+		caller.announce(true)
+		c.waitUntil("one upstream takes calls", c.serving(1))
+	}
+	if ownerStops {
+		stopping = serving
+	}
+	serving.takes.Store(int64(takes))
+	c.waitUntil("a call is served", func() bool { return c.call(caller, "/batches/1") == http.StatusOK })
+	return caller, serving, stopping
+}
+
 // Calls that a planned stop interrupts are answered, on every way to the
 // upstream and however slowly their bodies come.
 func TestCallCutAtEndOfStopIsAnswered(t *testing.T) {
@@ -59,26 +90,12 @@
 		{"slow short body to another node", true, false, "Content-Length: 9", "b"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			c := newHostedCluster(t, "v1")
-			caller := c.nodes[0]
-			serving := caller
-			if test.remote {
-				c.start("n1", "z", "v1")
-				serving = c.nodes[1]
-			}
-			c.callUntil("all serve", c.serving(len(c.nodes)))
-			if test.remote {
-				caller.announce(true)
-				c.callUntil("one takes calls", c.serving(1))
-			}
+			c := newHostedCluster(t)
+			caller, serving, stopping := c.startPair(test.remote, test.ownerStops, 0)
 			serving.hanging.Store(true)
 			status := make(chan int, 1)
 			go func() { status <- c.exchange(caller, c.request(test.headers, test.body)) }()
 			time.Sleep(200 * time.Millisecond)
-			stopping := caller
-			if test.ownerStops {
-				stopping = serving
-			}
 			began := time.Now()
 			stopping.Stop()
 			assert.Equal(t, <-status, http.StatusBadGateway)
@@ -89,3 +106,32 @@
 		})
 	}
 }
+
+// A call is not sent to an upstream that usually takes longer for it than a
+// planned stop leaves.
+func TestCallTakenLateInStopIsCut(t *testing.T) {
+	for _, test := range []struct {
+		name               string
+		remote, ownerStops bool
+		takes              time.Duration
+		status             int
+	}{
+		{"own upstream", false, false, 900 * time.Millisecond, http.StatusServiceUnavailable},
+		{"upstream of another node", true, false, 900 * time.Millisecond, http.StatusServiceUnavailable},
+		{"owner stops", true, true, 900 * time.Millisecond, http.StatusServiceUnavailable},
+		{"enough time is left", false, false, 200 * time.Millisecond, http.StatusOK},
+		{"enough time is left at the owner", true, true, 200 * time.Millisecond, http.StatusOK},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := newHostedCluster(t)
+			c.leaveNotice = 900 * time.Millisecond
+			caller, serving, stopping := c.startPair(test.remote, test.ownerStops, test.takes)
+			ran := serving.callCount()
+			stopping.Stop()
+			time.Sleep(150 * time.Millisecond)
+			assert.Equal(t, c.call(caller, "/batches/1"), test.status)
+			assert.Equal(t, serving.callCount() > ran, test.status == http.StatusOK)
+			<-stopping.done
+		})
+	}
+}
--- a/node/servers.go
+++ b/node/servers.go
@@ -176,7 +176,7 @@
 
 // drain takes the node out of service. It reports the node as not ready and
 // closes callers' connections after their next response, so that they connect
-// to other nodes; near the end of Timing.LeaveNotice it tells peers to send no
+// to other nodes. New calls get no more time than the stop leaves. Near the end of Timing.LeaveNotice it tells peers to send no
 // more calls. After LeaveNotice it refuses new calls as not run, waits until
 // in-flight calls have ended and their responses were sent, and releases the
 // controller's lease. Timing.DrainTimeout counts from the start of the drain; the
@@ -189,6 +189,9 @@
 	defer cancelAnswers()
 	noticeOver := time.After(n.deps.Timing.LeaveNotice)
 	n.stopping.Store(true)
+	end := n.deps.Now().Add(n.deps.Timing.DrainTimeout)
+	n.ingress.LimitTime(end)
+	n.owner.LimitTime(end)
 	n.ingress.DisableKeepAlives()
 	sleep(ctx, n.deps.Timing.LeaveNotice-_peerNotice)
 	n.announceLeaving()
