crash: Count crashes at about the same moment once

Cause: upstreams that end for a common cause don't do so in the same instant. A call that lost its upstream was sent to another, which ended some milliseconds later, and so on: each run began after the crash before, and three such crashes of one moment blocked the call.

Change: two crashes count only if they are 250 ms apart. Upstreams that a call crashes come back later than that, so the block comes a little later and holds as before.

--- a/crash/record.go
+++ b/crash/record.go
@@ -17,6 +17,10 @@
 	_minBlock    = time.Second
 	_blockGrowth = 6
 	_maxBlock    = time.Minute
+	// _minCrashDistance is the least time between two crashes of a call that
+	// count. Upstreams that end for a common cause do so within less, while calls
+	// are sent on from one to the next.
+	_minCrashDistance = 250 * time.Millisecond
 	// _memory is how long a crash counts, and how long a call is remembered after
 	// its block has ended.
 	_memory = 2 * time.Minute
@@ -164,14 +168,19 @@
 	slices.SortStableFunc(r.Crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
 }
 
-// sequence returns the longest sequence of crashes in which each run began
-// after the crash before it. The crashes must be sorted by time. Upstreams that
-// end at the same moment have a common cause, which is not a call that each of
-// them was running.
+// sequence returns the longest sequence of crashes that are _minCrashDistance
+// apart and in which each run began after the crash before it. The crashes must be
+// sorted by time. Upstreams that end at about the same moment have a common cause,
+// which is not a call that each of them was running.
 func sequence(crashes []Crash) []Crash {
 	var chain []Crash
 	for _, c := range crashes {
-		if len(chain) == 0 || !c.StartedAt.Before(chain[len(chain)-1].At) {
+		if len(chain) == 0 {
+			chain = append(chain, c)
+			continue
+		}
+		before := chain[len(chain)-1].At
+		if c.At.Sub(before) >= _minCrashDistance && !c.StartedAt.Before(before) {
 			chain = append(chain, c)
 		}
 	}
--- a/crash/table_test.go
+++ b/crash/table_test.go
@@ -76,8 +76,12 @@
 			crashAt(1, _v1, _start), crashAt(1, _v1, _start.Add(time.Second)), crashAt(1, _v1, _start.Add(2*time.Second)),
 		}},
 		"each run after the crash before": {crashes: []Crash{
-			crashAt(1, _v1, _start), crashAt(2, _v1, _start.Add(50*time.Millisecond)), crashAt(3, _v1, _start.Add(100*time.Millisecond)),
+			crashAt(1, _v1, _start), crashAt(2, _v1, _start.Add(_minCrashDistance)), crashAt(3, _v1, _start.Add(2*_minCrashDistance)),
 		}, trips: 1},
+		"each run after the crash before, at about the same moment": {crashes: []Crash{
+			crashAt(1, _v1, _start), crashAt(2, _v1, _start.Add(50*time.Millisecond)), crashAt(3, _v1, _start.Add(100*time.Millisecond)),
+			crashAt(4, _v1, _start.Add(150*time.Millisecond)), crashAt(5, _v1, _start.Add(200*time.Millisecond)),
+		}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			table, call := New("n"), testCall("x")
