control, node: Bound the release of the lease in a planned stop

A planned stop of a node that may be the controller took longer than its drain timeout while the platform was silent. Where the platform kills the process at the end of its time, the call that took longest would have been cut without an answer.

Cause: the stop released the controller's lease at its end, without a bound. It first waited for the controller's running step, whose calls to the platform time out after 3 s each, then up to 3 s for the release.

Change: the lease is released while the calls in flight are waited for, and no longer than until the drain timeout; a controller that was stopped takes no further step, so that it doesn't acquire the lease again. A lease that is not released expires.

--- a/control/controller.go
+++ b/control/controller.go
@@ -74,6 +74,8 @@
 	leadership leadership
 	// trackers holds a tracker for the ID of each rollout under way.
 	trackers map[string]*rolloutTracker
+	// isStopped is set by Stop.
+	isStopped bool
 	// holdsLease is set if the lease was held at the last step.
 	holdsLease atomic.Bool
 }
@@ -106,13 +108,16 @@
 }
 
 // Step maintains the lease and, while it is held, lets each rollout make its
-// next transition. It does nothing while another step is running. An error is
-// only for the log: the next step tries again.
+// next transition. It does nothing while another step is running or after Stop.
+// An error is only for the log: the next step tries again.
 func (c *Controller) Step(ctx context.Context) error {
 	if !c.mu.TryLock() {
 		return nil
 	}
 	defer c.mu.Unlock()
+	if c.isStopped {
+		return nil
+	}
 	combined := c.leadership.maintain(ctx)
 	epoch, held := c.leadership.lease.Held(c.deps.Now())
 	if c.holdsLease.Swap(held) != held {
@@ -141,10 +146,11 @@
 	return c.holdsLease.Load()
 }
 
-// Stop releases the lease.
+// Stop releases the lease for good, after the step that is running.
 func (c *Controller) Stop(ctx context.Context) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.isStopped = true
 	c.leadership.release(ctx)
 }
 
--- a/node/node_integration_test.go
+++ b/node/node_integration_test.go
@@ -50,10 +50,13 @@
 type cluster struct {
 	// slowCalls delays the connections of callers; nil for none.
 	slowCalls *delays
-	t         *testing.T
-	platform  *fakeplatform.Platform
-	base      *url.URL
-	nodes     map[string]*testNode
+	// drainTimeout is that of nodes that are started from now on; 0 for the
+	// default.
+	drainTimeout time.Duration
+	t            *testing.T
+	platform     *fakeplatform.Platform
+	base         *url.URL
+	nodes        map[string]*testNode
 }
 
 // testNode is a running node and its upstream.
@@ -114,6 +117,9 @@
 	transport := &http.Transport{}
 	timing := node.DefaultTiming()
 	timing.GossipInterval, timing.ZoneGossipInterval, timing.HealthCheckInterval, timing.ControlInterval = 50*time.Millisecond, 100*time.Millisecond, 50*time.Millisecond, 100*time.Millisecond
+	if c.drainTimeout > 0 {
+		timing.DrainTimeout = c.drainTimeout
+	}
 	peer := netip.MustParseAddrPort(l.Peers.Addr().String())
 	n := node.New(node.Dependencies{
 		ID: membership.NodeID(id), Region: "r", Zone: zone, PeerAddress: peer, Seeds: seeds,
--- a/node/planned_stop_integration_test.go
+++ b/node/planned_stop_integration_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,10 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"lentilferry.example/lentilferry/control"
+	"lentilferry.example/lentilferry/internal/fakes/fakeplatform"
+	"lentilferry.example/lentilferry/internal/fakes/fakestore"
 )
 
 // exchange sends a request as written on a connection of its own and returns
@@ -135,3 +140,46 @@
 		})
 	}
 }
+
+// A planned stop doesn't wait for a platform that is silent.
+func TestStopOutlastsItsTimeWithSilentPlatform(t *testing.T) {
+	c := newCluster(t)
+	c.drainTimeout = 700 * time.Millisecond
+	n := c.start("a1", "a")
+	c.apply(n)
+	c.waitFor("the node serves", n.serving(1))
+	c.waitFor("the node holds the lease", func() bool {
+		_, err := c.platform.Get(context.Background(), control.LeaseKey)
+		return err == nil
+	})
+	c.platform.SetFaults(fakeplatform.Faults{Delay: _waitTimeout})
+	time.Sleep(200 * time.Millisecond)
+	began := time.Now()
+	n.Stop()
+	<-n.done
+	assert.Assert(t, time.Since(began) < c.drainTimeout+600*time.Millisecond, "stopped after %s", time.Since(began))
+}
+
+// Nor does a node of the users' platform wait for a silent store, whether it is
+// starting up or serves.
+func TestHostedStopWithSilentStoreMeetsDeadline(t *testing.T) {
+	for _, startsUp := range []bool{true, false} {
+		t.Run(fmt.Sprintf("startsUp=%t", startsUp), func(t *testing.T) {
+			c := newHostedCluster(t)
+			hang := func() { c.store.SetFaults(fakestore.Faults{Hang: true}) }
+			if startsUp {
+				hang()
+			}
+			n := c.start("n0", "z", "v1")
+			if !startsUp {
+				c.waitUntil("the node serves", c.serving(1))
+				hang()
+			}
+			time.Sleep(100 * time.Millisecond)
+			began := time.Now()
+			n.Stop()
+			<-n.done
+			assert.Assert(t, time.Since(began) < _drainTimeout+600*time.Millisecond, "stopped after %s", time.Since(began))
+		})
+	}
+}
--- a/node/servers.go
+++ b/node/servers.go
@@ -178,8 +178,8 @@
 // closes callers' connections after their next response, so that they connect
 // to other nodes. New calls get no more time than the stop leaves. Near the end of Timing.LeaveNotice it tells peers to send no
 // more calls. After LeaveNotice it refuses new calls as not run, waits until
-// in-flight calls have ended and their responses were sent, and releases the
-// controller's lease. Timing.DrainTimeout counts from the start of the drain; the
+// in-flight calls have ended, their responses were sent and the controller's lease
+// was released. Timing.DrainTimeout counts from the start of the drain; the
 // calls that are then still in flight are interrupted and answered.
 func (n *Node) drain(ctx context.Context, interrupt context.CancelCauseFunc) {
 	n.deps.Logger.Info("Draining", "node", n.deps.ID)
@@ -199,7 +199,11 @@
 	<-noticeOver
 	n.drainGate()
 	n.ingress.StopAccepting()
-	finished := make(chan struct{})
+	released, finished := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(released)
+		n.controller.Stop(drainCtx)
+	}()
 	go func() {
 		defer close(finished)
 		n.owner.Wait()
@@ -215,7 +219,11 @@
 		interrupt(call.ErrInterrupted)
 		n.awaitAnswers(answerCtx, finished)
 	}
-	n.controller.Stop(ctx)
+	select {
+	case <-released:
+	case <-drainCtx.Done():
+		// The lease expires by itself.
+	}
 	n.lifecycle.Leave()
 	n.announceState(membership.Left)
 	n.deps.Logger.Info("Left", "node", n.deps.ID)
