soak: Add a fault of a call that crashes upstreams

The instance that begins to run it ends: its link closes all connections and refuses new ones for 1 s, until the next instance starts. The links to upstreams, like the others, now have ports below the ephemeral range, so that no outgoing connection takes one meanwhile.

The checker counts the runs that begin later than 3.5 s after the third crash; the fourth and each one after it is a violation, unless the node that the call was sent to is or was isolated within 3 s.

--- a/internal/fakes/fakehost/upstream.go
+++ b/internal/fakes/fakehost/upstream.go
@@ -49,6 +49,8 @@
 	Instance string
 	// ResponseLost is set if the upstream drops the response.
 	ResponseLost bool
+	// Crashed is set if the call crashes the instance.
+	Crashed bool
 }
 
 // UpstreamDependencies holds the settings of an Upstream.
@@ -62,6 +64,12 @@
 	Address, AnnounceAddress netip.AddrPort
 	// OnRun is called when a call starts to run.
 	OnRun func(Run)
+	// IsCrashing reports whether a call with the given path crashes the instance
+	// that starts to run it.
+	IsCrashing func(path string) bool
+	// OnCrash is called when a call has crashed the instance with the given ID.
+	// The upstream is down until Restart or RestartCrashed.
+	OnCrash func(id string)
 }
 
 // Upstream is an upstream with one instance at a time. Restart replaces the
@@ -104,6 +112,21 @@
 func (u *Upstream) Restart() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.restartLocked()
+}
+
+// RestartCrashed replaces the instance with the given ID by a new one. If that
+// has happened already, it does nothing.
+func (u *Upstream) RestartCrashed(id string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.id == id {
+		u.restartLocked()
+	}
+}
+
+// restartLocked replaces the instance. The caller must hold u.mu.
+func (u *Upstream) restartLocked() {
 	u.instanceCount++
 	u.id = fmt.Sprintf("i-%s-%d", u.deps.Address, u.instanceCount)
 	u.bornMillis, u.seq = time.Now().UnixMilli(), 0
@@ -117,6 +140,18 @@
 	u.down = true
 }
 
+// crashInstance takes the instance with the given ID down. It returns false if
+// the instance has ended before.
+func (u *Upstream) crashInstance(id string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.id != id || u.down {
+		return false
+	}
+	u.down = true
+	return true
+}
+
 // Leave makes the instance announce that it is draining.
 func (u *Upstream) Leave() {
 	u.mu.Lock()
@@ -212,6 +247,13 @@
 	}
 	loseResponse := rand.Float64() < faults.LostResponseRatio
 	hash := HashRequest(r.Method, r.URL.Path, body)
+	if u.deps.IsCrashing(r.URL.Path) {
+		if u.crashInstance(id) {
+			u.deps.OnRun(Run{ID: callID, RequestHash: hash, StartedAt: time.Now(), Instance: id, Crashed: true})
+			u.deps.OnCrash(id)
+		}
+		panic(http.ErrAbortHandler)
+	}
 	u.deps.OnRun(Run{ID: callID, RequestHash: hash, StartedAt: time.Now(), Instance: id, ResponseLost: loseResponse})
 	select {
 	case <-time.After(u.deps.ProcessingTime + faults.Delay):
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -22,6 +22,9 @@
 	// _maxDowntime is the upper bound of the time before a stopped process is
 	// started again.
 	_maxDowntime = 2 * time.Second
+	// _minCrashingDuration is how long calls that crash upstreams are sent at
+	// least. It is twice the time after which they must have been blocked.
+	_minCrashingDuration = 2 * _blockedWithin
 )
 
 // fault is one kind of fault. Its inject function starts the fault at once and
@@ -33,8 +36,9 @@
 
 // faultInjector injects a random sequence of faults that depends on a seed.
 type faultInjector struct {
-	fleet *fleet
-	rnd   *rand.Rand
+	fleet   *fleet
+	callers *callers
+	rnd     *rand.Rand
 	// rndMu guards rnd, which overlapping faults share, and configVersion.
 	rndMu sync.Mutex
 	// configVersion is the version of the newest configuration.
@@ -49,14 +53,24 @@
 	logf          func(format string, args ...any)
 }
 
-func newFaultInjector(f *fleet, seed uint64, logf func(string, ...any)) *faultInjector {
-	inj := &faultInjector{fleet: f, rnd: rand.New(rand.NewPCG(seed, 0)), vmMu: make(map[*vm]*sync.Mutex), logf: logf}
+func newFaultInjector(f *fleet, c *callers, seed uint64, logf func(string, ...any)) *faultInjector {
+	inj := &faultInjector{fleet: f, callers: c, rnd: rand.New(rand.NewPCG(seed, 0)), vmMu: make(map[*vm]*sync.Mutex), logf: logf}
 	for _, v := range f.vms {
 		inj.vmMu[v] = &sync.Mutex{}
 	}
 	return inj
 }
 
+// isolate returns a function that injects a fault which keeps the node out of
+// touch with other nodes, and records that.
+func isolate(inject func(*faultInjector, *vm, time.Duration)) func(*faultInjector, *vm, time.Duration) {
+	return func(inj *faultInjector, v *vm, duration time.Duration) {
+		inj.fleet.checker.beginIsolation(v.id)
+		inject(inj, v, duration)
+		inj.fleet.checker.endIsolation(v.id, time.Now())
+	}
+}
+
 // faultKinds returns the faults to choose from. "configure" is listed twice to
 // make it twice as likely.
 func faultKinds() []fault {
@@ -87,18 +101,18 @@
 	return []fault{
 		{"kill", func(inj *faultInjector, v *vm, _ time.Duration) { inj.restart(v, syscall.SIGKILL) }},
 		{"stop", func(inj *faultInjector, v *vm, _ time.Duration) { inj.restart(v, syscall.SIGTERM) }},
-		{"pause", func(_ *faultInjector, v *vm, duration time.Duration) {
+		{"pause", isolate(func(_ *faultInjector, v *vm, duration time.Duration) {
 			v.signal(syscall.SIGSTOP)
 			time.Sleep(duration)
 			v.signal(syscall.SIGCONT)
-		}},
+		})},
 		{"hup", func(_ *faultInjector, v *vm, _ time.Duration) { v.signal(syscall.SIGHUP) }},
 		{"herd-kill", func(inj *faultInjector, _ *vm, _ time.Duration) { inj.killEveryNth(2) }},
 		{"all-kill", func(inj *faultInjector, _ *vm, _ time.Duration) { inj.killEveryNth(1) }},
 		{"peer-slow", link(toPeer, _linkSlow)},
-		{"peer-reset", link(toPeer, _linkReset)},
-		{"peer-silent", link(toPeer, _linkStalled)},
-		{"peer-one-way", link(toPeer, _linkOneWay)},
+		{"peer-reset", isolate(link(toPeer, _linkReset))},
+		{"peer-silent", isolate(link(toPeer, _linkStalled))},
+		{"peer-one-way", isolate(link(toPeer, _linkOneWay))},
 		{"store-link-reset", link(toStore, _linkReset)},
 		{"store-link-silent", link(toStore, _linkStalled)},
 		{"store-link-one-way", link(toStore, _linkOneWay)},
@@ -118,6 +132,9 @@
 		{"upstream-loses-answers", upstream(fakehost.Faults{LostResponseRatio: 0.2})},
 		{"upstream-crash", func(inj *faultInjector, v *vm, duration time.Duration) { inj.replaceUpstream(v, false, duration) }},
 		{"upstream-leave", func(inj *faultInjector, v *vm, duration time.Duration) { inj.replaceUpstream(v, true, duration) }},
+		{"crashing-call", func(inj *faultInjector, _ *vm, duration time.Duration) {
+			inj.sendCrashing(_minCrashingDuration + duration)
+		}},
 		{"configure", func(inj *faultInjector, _ *vm, _ time.Duration) { inj.writeNextConfig() }},
 		{"configure", func(inj *faultInjector, _ *vm, _ time.Duration) { inj.writeNextConfig() }},
 	}
@@ -159,12 +176,24 @@
 	inj.vmMu[v].Lock()
 	defer inj.vmMu[v].Unlock()
 	v.stop(signal)
+	inj.fleet.checker.beginIsolation(v.id)
+	defer func() { inj.fleet.checker.endIsolation(v.id, time.Now()) }()
 	time.Sleep(inj.randomDuration(_maxDowntime))
 	if err := v.start(); err != nil {
 		inj.logf("%+v", err)
 	}
 }
 
+// sendCrashing sends calls that crash upstreams for a duration.
+func (inj *faultInjector) sendCrashing(duration time.Duration) {
+	inj.rndMu.Lock()
+	rnd := rand.New(rand.NewPCG(inj.rnd.Uint64(), 0))
+	inj.rndMu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), duration)
+	defer cancel()
+	inj.callers.sendCrashing(ctx, rnd)
+}
+
 // killEveryNth kills and restarts every nth node at the same time.
 func (inj *faultInjector) killEveryNth(n int) {
 	var restarts sync.WaitGroup
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -33,6 +33,8 @@
 	// _announceTimeout the timeout of each.
 	_announceInterval = 300 * time.Millisecond
 	_announceTimeout  = time.Second
+	// _crashDowntime is how long an upstream that a call has crashed is down.
+	_crashDowntime = time.Second
 	// _stopGracePeriod is how long a process may take to stop before it is
 	// killed.
 	_stopGracePeriod = 6 * time.Second
@@ -43,6 +45,7 @@
 	id             string
 	args           []string
 	binary         string
+	checker        *checker
 	logFile        *os.File
 	callAddress    netip.AddrPort
 	readyURL       string
@@ -116,7 +119,7 @@
 
 // newVM starts one node with its upstream and proxies, and logs to logDir.
 func (f *fleet) newVM(binary, logDir string, index int) (*vm, error) {
-	v := &vm{id: fmt.Sprintf("n%02d", index), binary: binary}
+	v := &vm{id: fmt.Sprintf("n%02d", index), binary: binary, checker: f.checker}
 	var callAddress, peerAddress, adminAddress, announceAddress netip.AddrPort
 	for _, address := range []*netip.AddrPort{&callAddress, &peerAddress, &adminAddress, &announceAddress} {
 		port, err := f.ports.allocate()
@@ -132,7 +135,11 @@
 		dest   **proxy
 		target netip.AddrPort
 	}{{&v.toPeer, peerAddress}, {&v.toStore, storeAddress}, {&v.toUpstream, upstreamAddress}} {
-		p, err := newProxy(link.target)
+		address, err := f.ports.allocate()
+		if err != nil {
+			return nil, err
+		}
+		p, err := newProxy(address, link.target)
 		if err != nil {
 			return nil, err
 		}
@@ -140,7 +147,8 @@
 	}
 	v.upstreamServer = server
 	v.upstream = fakehost.NewUpstream(fakehost.UpstreamDependencies{
-		Service: _service, Slots: _slots, ProcessingTime: _processingTime, Address: v.toUpstream.address(), AnnounceAddress: announceAddress, OnRun: f.checker.recordRun,
+		Service: _service, Slots: _slots, ProcessingTime: _processingTime, Address: v.toUpstream.address, AnnounceAddress: announceAddress,
+		OnRun: f.checker.recordRun, IsCrashing: isCrashing, OnCrash: v.restartUpstreamLater,
 	})
 	server.Start()
 	logFile, err := os.Create(filepath.Join(logDir, v.id+".log")) //nolint:gosec // The user chooses the folder.
@@ -151,15 +159,27 @@
 	zone := fmt.Sprintf("zone-%d", index%_zoneCount)
 	v.args = []string{
 		"--id", v.id, "--region", fmt.Sprintf("region-%d", index%_zoneCount%2), "--zone", zone,
-		"--call-address", callAddress.String(), "--peer-address", v.toPeer.address().String(), "--peer-listen-address", peerAddress.String(),
+		"--call-address", callAddress.String(), "--peer-address", v.toPeer.address.String(), "--peer-listen-address", peerAddress.String(),
 		"--admin-address", adminAddress.String(), "--announce-address", announceAddress.String(),
-		"--platform-protocol", "hosted", "--platform-url", "http://" + v.toStore.address().String(),
-		"--service", _service, "--upstream-address", v.toUpstream.address().String(),
+		"--platform-protocol", "hosted", "--platform-url", "http://" + v.toStore.address.String(),
+		"--service", _service, "--upstream-address", v.toUpstream.address.String(),
 		"--leave-notice", "2900ms", "--drain-timeout", "5100ms", "--gc-percent", "50", "--verbosity", "1",
 	}
 	return v, v.start()
 }
 
+// restartUpstreamLater makes the upstream refuse connections and starts its next
+// instance after _crashDowntime.
+func (v *vm) restartUpstreamLater(crashed string) {
+	v.toUpstream.refuse()
+	time.AfterFunc(_crashDowntime, func() {
+		v.upstream.RestartCrashed(crashed)
+		if err := v.toUpstream.listen(); err != nil {
+			v.checker.addViolationf("%s: upstream not restarted: %v", v.id, err)
+		}
+	})
+}
+
 // start starts the node's process and waits for its exit in the background.
 func (v *vm) start() error {
 	v.mu.Lock()
--- a/soak/main.go
+++ b/soak/main.go
@@ -142,9 +142,9 @@
 	for _, v := range f.vms {
 		go f.announce(ctx, v)
 	}
-	injector := newFaultInjector(f, seed, logf)
-	injector.writeNextConfig()
 	c := &callers{fleet: f, checker: check}
+	injector := newFaultInjector(f, c, seed, logf)
+	injector.writeNextConfig()
 	w := &recoveryWatcher{fleet: f, injector: injector, checker: check}
 	w.awaitRecovery("start", _startTimeout)
 	callCtx, stopCalls := context.WithCancel(ctx)
@@ -226,7 +226,7 @@
 		for _, path := range []string{_pathLookup, versionPath(version)} {
 			w.callCount++
 			call := fakehost.Call{ID: fmt.Sprintf("w%08d", w.callCount), Method: http.MethodGet, Path: path + "1", Timeout: _callTimeout}
-			w.checker.recordSend(call, true)
+			w.checker.recordSend(call, true, v.id)
 			response := fakehost.Send(context.Background(), w.fleet.client, v.callAddress, call)
 			if response.Status != http.StatusOK || response.Mismatch != "" {
 				return fmt.Sprintf("%s returned status %d for %s: %s %v", v.id, response.Status, path, response.Mismatch, response.Err)
--- a/soak/promises.go
+++ b/soak/promises.go
@@ -13,6 +13,15 @@
 	// _leaveGracePeriod is how long after a confirmed leave an instance may
 	// still start calls, because they were already in flight.
 	_leaveGracePeriod = 2500 * time.Millisecond
+	// A call that has crashed _crashesToBlock instances may start at most
+	// _maxLateRuns times more than _blockedWithin after the last of these crashes:
+	// 3 s, and half a second for a busy machine.
+	_crashesToBlock = 3
+	_blockedWithin  = 3500 * time.Millisecond
+	_maxLateRuns    = 3
+	// _isolationGracePeriod is how long after its isolation a node may lack what
+	// other nodes learned meanwhile.
+	_isolationGracePeriod = 3 * time.Second
 	// _maxViolations limits the number of violations that are recorded.
 	_maxViolations = 40
 )
@@ -22,9 +31,26 @@
 type sentCall struct {
 	call       fakehost.Call
 	idempotent bool
-	response   fakehost.Response
-	completed  bool
-	runs       []fakehost.Run
+	// node is the ID of the node that the call was sent to.
+	node      string
+	response  fakehost.Response
+	completed bool
+	runs      []fakehost.Run
+}
+
+// crashingCall counts the crashes by calls that differ only in their IDs.
+type crashingCall struct {
+	crashCount, lateRunCount int
+	// blockedAt is when the calls must be blocked; zero before _crashesToBlock
+	// crashes.
+	blockedAt time.Time
+}
+
+// isolation holds the faults that keep a node out of touch with others.
+type isolation struct {
+	activeCount int
+	// endedAt is when the last of them ended; zero if none has.
+	endedAt time.Time
 }
 
 // checker compares what callers and upstreams observe with the guarantees of
@@ -32,6 +58,10 @@
 type checker struct {
 	mu    sync.Mutex
 	calls map[string]*sentCall
+	// crashing holds the calls that crash instances by the hash of the request,
+	// and isolations the isolations by the ID of the node.
+	crashing   map[string]*crashingCall
+	isolations map[string]*isolation
 	// responsesByStatus counts responses by HTTP status, and under 0 the calls
 	// that got none.
 	responsesByStatus map[int]int
@@ -39,7 +69,10 @@
 }
 
 func newChecker() *checker {
-	return &checker{calls: make(map[string]*sentCall), responsesByStatus: make(map[int]int)}
+	return &checker{
+		calls: make(map[string]*sentCall), crashing: make(map[string]*crashingCall), isolations: make(map[string]*isolation),
+		responsesByStatus: make(map[int]int),
+	}
 }
 
 // addViolationLockedf records a violation. The caller must hold c.mu.
@@ -49,12 +82,12 @@
 	}
 }
 
-// recordSend records a call. It must be called before the call is sent, because
-// a run of an unrecorded call counts as a violation.
-func (c *checker) recordSend(call fakehost.Call, idempotent bool) {
+// recordSend records a call to a node. It must be called before the call is
+// sent, because a run of an unrecorded call counts as a violation.
+func (c *checker) recordSend(call fakehost.Call, idempotent bool, node string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.calls[call.ID] = &sentCall{call: call, idempotent: idempotent}
+	c.calls[call.ID] = &sentCall{call: call, idempotent: idempotent, node: node}
 }
 
 // recordResponse records the response that a caller received.
@@ -90,6 +123,58 @@
 		c.addViolationLockedf("call %s: run %d times, by %s and %s", r.ID, len(sent.runs), sent.runs[0].Instance, r.Instance)
 	}
 	c.checkRefusalLocked(r.ID, sent)
+	if r.Crashed {
+		c.checkCrashLocked(r, sent)
+	}
+}
+
+// checkCrashLocked records a violation if a call that crashes instances starts
+// although it must have been blocked, unless the node that it was sent to has
+// been isolated. The caller must hold c.mu.
+func (c *checker) checkCrashLocked(r fakehost.Run, sent *sentCall) {
+	crashing := c.crashing[r.RequestHash]
+	if crashing == nil {
+		crashing = &crashingCall{}
+		c.crashing[r.RequestHash] = crashing
+	}
+	crashing.crashCount++
+	if crashing.crashCount == _crashesToBlock {
+		crashing.blockedAt = r.StartedAt.Add(_blockedWithin)
+	}
+	if crashing.crashCount <= _crashesToBlock || !r.StartedAt.After(crashing.blockedAt) || c.isIsolatedLocked(sent.node, r.StartedAt) {
+		return
+	}
+	crashing.lateRunCount++
+	if crashing.lateRunCount > _maxLateRuns {
+		c.addViolationLockedf("call %s of %s to %s: crashed %s, the %dth later than %s after crash %d",
+			r.ID, sent.call.Path, sent.node, r.Instance, crashing.lateRunCount, _blockedWithin, _crashesToBlock)
+	}
+}
+
+// beginIsolation records that a fault begins to keep a node out of touch with
+// others.
+func (c *checker) beginIsolation(node string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isolations[node] == nil {
+		c.isolations[node] = &isolation{}
+	}
+	c.isolations[node].activeCount++
+}
+
+// endIsolation records that such a fault ended.
+func (c *checker) endIsolation(node string, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isolations[node].activeCount--
+	c.isolations[node].endedAt = now
+}
+
+// isIsolatedLocked reports whether a node is or was isolated within the last
+// _isolationGracePeriod. The caller must hold c.mu.
+func (c *checker) isIsolatedLocked(node string, now time.Time) bool {
+	i := c.isolations[node]
+	return i != nil && (i.activeCount > 0 || now.Sub(i.endedAt) <= _isolationGracePeriod)
 }
 
 // checkRefusalLocked records a violation if a non-idempotent call ran although
--- a/soak/promises_test.go
+++ b/soak/promises_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -47,7 +50,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := newChecker()
-			c.recordSend(call, test.idempotent)
+			c.recordSend(call, test.idempotent, "n1")
 			test.act(c)
 			_, violations := c.report()
 			if test.want == "" {
@@ -59,6 +62,85 @@
 	}
 }
 
+// A call that has crashed three instances is a violation when it starts for the
+// fourth time too late, unless it was sent to a node that was isolated just before.
+func TestCheckerDetectsCrashesByCallsToBeBlocked(t *testing.T) {
+	const late = _blockedWithin + time.Millisecond
+	for name, test := range map[string]struct {
+		// runs are when the calls start.
+		runs []time.Duration
+		// isolated is when the node was isolated, if it was.
+		isolated *time.Duration
+		// paths are the paths of the calls; all the same if empty.
+		paths []string
+		want  int
+	}{
+		"many in time":         {runs: []time.Duration{0, 0, 0, 1, 2, _blockedWithin, _blockedWithin}},
+		"three late":           {runs: []time.Duration{0, 0, 0, late, late, late}},
+		"four late":            {runs: []time.Duration{0, 0, 0, late, late, late, late}, want: 1},
+		"third crash late":     {runs: []time.Duration{0, 0, late, late, late, late, late, late}},
+		"six late":             {runs: []time.Duration{0, 0, 0, 1, late, late, late, late, late, late}, want: 3},
+		"other calls":          {runs: []time.Duration{0, 0, 0, late, late, late, late}, paths: []string{"/a", "/b"}},
+		"isolated just before": {runs: []time.Duration{0, 0, 0, late, late, late, late}, isolated: new(late - _isolationGracePeriod)},
+		"isolated long before": {runs: []time.Duration{0, 0, 0, late, late, late, late}, isolated: new(late - _isolationGracePeriod - 1), want: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, start := newChecker(), time.Now()
+			if test.isolated != nil {
+				c.beginIsolation("n1")
+				c.endIsolation("n1", start.Add(*test.isolated))
+			}
+			for i, after := range test.runs {
+				call := fakehost.Call{ID: fmt.Sprint("c", i), Method: http.MethodGet, Path: "/crashing-1"}
+				if len(test.paths) > 0 {
+					call.Path = test.paths[i%len(test.paths)]
+				}
+				c.recordSend(call, true, "n1")
+				c.recordRun(fakehost.Run{
+					ID: call.ID, RequestHash: fakehost.HashRequest(call.Method, call.Path, nil), StartedAt: start.Add(after), Instance: fmt.Sprint("i-", i), Crashed: true,
+				})
+			}
+			_, violations := c.report()
+			assert.Equal(t, len(violations), test.want, "%v", violations)
+		})
+	}
+}
+
+// A proxy that refuses connections ends the open ones and accepts new ones again
+// on the same address.
+func TestProxyRefusesConnections(t *testing.T) {
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = target.Close() }()
+	p := newTestProxy(t, netip.MustParseAddrPort(target.Addr().String()))
+	conn, err := net.Dial("tcp", p.address.String())
+	assert.NilError(t, err)
+	accepted, err := target.Accept()
+	assert.NilError(t, err)
+	defer func() { _ = accepted.Close() }()
+	p.refuse()
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, err = conn.Read(make([]byte, 1))
+	assert.Assert(t, errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET), "%v", err)
+	_, err = net.Dial("tcp", p.address.String())
+	assert.Assert(t, errors.Is(err, syscall.ECONNREFUSED), "%v", err)
+	assert.NilError(t, p.listen())
+	conn, err = net.Dial("tcp", p.address.String())
+	assert.NilError(t, err)
+	_ = conn.Close()
+}
+
+// newTestProxy starts a proxy to the target.
+func newTestProxy(t *testing.T, target netip.AddrPort) *proxy {
+	t.Helper()
+	address, err := (&portAllocator{next: os.Getpid()}).allocate()
+	assert.NilError(t, err)
+	p, err := newProxy(address, target)
+	assert.NilError(t, err)
+	t.Cleanup(p.close)
+	return p
+}
+
 // The proxy applies each link fault and delivers the data that it held back
 // once the link is healthy again.
 func TestLinkFaults(t *testing.T) {
@@ -77,11 +159,9 @@
 			}()
 		}
 	}()
-	p, err := newProxy(netip.MustParseAddrPort(listener.Addr().String()))
-	assert.NilError(t, err)
-	defer p.close()
+	p := newTestProxy(t, netip.MustParseAddrPort(listener.Addr().String()))
 	sendLine := func(wait time.Duration) (net.Conn, error) {
-		conn, err := net.Dial("tcp", p.address().String())
+		conn, err := net.Dial("tcp", p.address.String())
 		// With _linkReset the proxy resets a connection as soon as it accepts it. The
 		// reset may arrive before Dial returns, which then reports it.
 		if errors.Is(err, syscall.ECONNRESET) {
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -41,28 +41,54 @@
 // proxy forwards TCP connections on loopback to a target and injects link
 // faults.
 type proxy struct {
+	// address is where the proxy listens, and target what it connects to.
+	address, target netip.AddrPort
+
+	mu sync.Mutex
+	// listener is nil while the proxy refuses connections.
 	listener net.Listener
-	target   netip.AddrPort
+	closed   bool
+	fault    linkFault
+	conns    map[net.Conn]bool
+	wg       sync.WaitGroup
+}
 
-	mu    sync.Mutex
-	fault linkFault
-	conns map[net.Conn]bool
-	wg    sync.WaitGroup
+// newProxy starts a proxy to the target that listens on the given address.
+func newProxy(address, target netip.AddrPort) (*proxy, error) {
+	p := &proxy{address: address, target: target, conns: make(map[net.Conn]bool)}
+	return p, p.listen()
 }
 
-// newProxy starts a proxy to the target on a free port.
-func newProxy(target netip.AddrPort) (*proxy, error) {
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+// listen starts to accept connections, unless the proxy does so already or is
+// closed.
+func (p *proxy) listen() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil || p.closed {
+		return nil
+	}
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", p.address.String())
 	if err != nil {
-		return nil, errors.Wrap(err, "listen on a proxy port")
+		return errors.Wrap(err, "listen on a proxy port")
 	}
-	p := &proxy{listener: listener, target: target, conns: make(map[net.Conn]bool)}
-	p.wg.Go(p.accept)
-	return p, nil
+	p.listener = listener
+	p.wg.Go(func() { p.accept(listener) })
+	return nil
 }
 
-func (p *proxy) address() netip.AddrPort {
-	return netip.MustParseAddrPort(p.listener.Addr().String())
+// refuse closes all connections and refuses new ones until listen is called, as
+// if the target's process had ended.
+func (p *proxy) refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener == nil {
+		return
+	}
+	_ = p.listener.Close()
+	p.listener = nil
+	for conn := range p.conns {
+		_ = conn.Close()
+	}
 }
 
 // setFault replaces the fault. _linkReset also resets the open connections.
@@ -85,14 +111,17 @@
 }
 
 func (p *proxy) close() {
-	_ = p.listener.Close()
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.refuse()
 	p.setFault(_linkReset)
 	p.wg.Wait()
 }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(listener net.Listener) {
 	for {
-		conn, err := p.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -108,12 +137,12 @@
 	_ = conn.Close()
 }
 
-// track adds an open connection. While the fault is _linkReset it resets the
-// connection instead and returns false.
+// track adds an open connection. While the fault is _linkReset or the proxy
+// refuses connections, it resets the connection instead and returns false.
 func (p *proxy) track(conn net.Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.fault == _linkReset {
+	if p.fault == _linkReset || p.listener == nil {
 		resetConn(conn)
 		return false
 	}
