soak: Look for a block of the callers' lookup after the faults

The lookup that must succeed at all nodes 15 s after the last fault had a path of its own, so a block of the lookup that all callers send would not be found. It is now the same call.

--- a/soak/main.go
+++ b/soak/main.go
@@ -223,9 +223,11 @@
 		if !w.fleet.isReady(v) {
 			return v.id + " is not ready"
 		}
+		// The lookup is the same call as the callers', which must not be refused
+		// because it was running when upstreams crashed.
 		for _, path := range []string{_pathLookup, versionPath(version)} {
 			w.callCount++
-			call := fakehost.Call{ID: fmt.Sprintf("w%08d", w.callCount), Method: http.MethodGet, Path: path + "1", Timeout: _callTimeout}
+			call := fakehost.Call{ID: fmt.Sprintf("w%08d", w.callCount), Method: http.MethodGet, Path: path + "7", Timeout: _callTimeout}
 			w.checker.recordSend(call, true, v.id)
 			response := fakehost.Send(context.Background(), w.fleet.client, v.callAddress, call)
 			if response.Status != http.StatusOK || response.Mismatch != "" {
