--- a/soak/main.go
+++ b/soak/main.go
@@ -174,7 +174,8 @@
 	for _, status := range slices.Sorted(maps.Keys(counts)) {
 		responses = append(responses, fmt.Sprintf("%d: %d", status, counts[status]))
 	}
-	fmt.Printf("seed %d: %d violations; responses by status: %s\n", seed, len(violations), strings.Join(responses, ", "))
+	fmt.Printf("seed %d: %d violations; responses by status: %s; crashes by each crashing call: %v\n",
+		seed, len(violations), strings.Join(responses, ", "), check.crashCounts())
 	for _, v := range violations {
 		fmt.Println("  " + v)
 	}
--- a/soak/promises.go
+++ b/soak/promises.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -220,3 +221,15 @@
 	}
 	return counts, append([]string(nil), c.violations...)
 }
+
+// crashCounts returns how often each call that crashes instances did so, sorted.
+func (c *checker) crashCounts() []int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	counts := make([]int, 0, len(c.crashing))
+	for _, call := range c.crashing {
+		counts = append(counts, call.crashCount)
+	}
+	slices.Sort(counts)
+	return counts
+}
