call: Count calls in flight without a WaitGroup

A node that still got calls while it stopped could end with a panic: all its connections were closed, also those whose calls an upstream was running. In another interleaving the panic is that of a handler, whose caller gets no answer.

Cause: a stop waits for the calls in flight with sync.WaitGroup.Wait, while the refused calls of callers and other nodes go on being counted. A WaitGroup must not be used so: if a call begins between the end of the last one and the moment at which the waiter has woken up, Wait panics ('WaitGroup is reused before previous Wait has returned'), in a goroutine of drain where nothing recovers it; Add and Done can panic too. The later a busy node wakes the waiter, the longer is the window.

--- a/call/ingress.go
+++ b/call/ingress.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -81,7 +80,7 @@
 type Ingress struct {
 	deps IngressDependencies
 	// inFlight counts the accepted calls that have not ended.
-	inFlight sync.WaitGroup
+	inFlight inFlightCalls
 	// keepAlivesDisabled is set by DisableKeepAlives.
 	keepAlivesDisabled atomic.Bool
 	// stopped is set by StopAccepting.
@@ -116,7 +115,7 @@
 
 // Wait blocks until all accepted calls have ended.
 func (i *Ingress) Wait() {
-	i.inFlight.Wait()
+	i.inFlight.wait()
 }
 
 // ServeHTTP handles one call from a caller.
@@ -125,8 +124,8 @@
 		w.Header().Set("Connection", "close")
 	}
 	// Counts the call first, so that Wait misses none that was not refused.
-	i.inFlight.Add(1)
-	defer i.inFlight.Done()
+	i.inFlight.begin()
+	defer i.inFlight.end()
 	if i.stopped.Load() {
 		i.refuse(w, r, Reason(admission.ReasonDraining))
 		return
--- a/call/owner.go
+++ b/call/owner.go
@@ -83,7 +83,7 @@
 	// upstream is the upstream's address and port.
 	upstream string
 	// inFlight counts the forwarded calls that have not ended.
-	inFlight sync.WaitGroup
+	inFlight inFlightCalls
 	// timeLimit is set by LimitTime.
 	timeLimit timeLimit
 }
@@ -110,13 +110,13 @@
 
 // Wait blocks until all forwarded calls have ended.
 func (o *Owner) Wait() {
-	o.inFlight.Wait()
+	o.inFlight.wait()
 }
 
 // ServeHTTP handles one call that another node forwarded.
 func (o *Owner) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	o.inFlight.Add(1)
-	defer o.inFlight.Done()
+	o.inFlight.begin()
+	defer o.inFlight.end()
 	now := o.deps.Now()
 	remaining, stated, err := parseRemaining(r.Header)
 	if !stated {
