common/meter: Let Peek see what a connection holds

A call that another node had forwarded, and that a stopping owner had received but not read yet, was cut off. Its ingress then had to take it for unknown, so that a call that may not be repeated came back as 502 though it had not run.

Cause: the check for unread bytes (socket.Peek) needs the connection's socket. The connections of other nodes are wrapped to count their bytes, and the wrapper hid the socket, so that the check failed and the connection was taken for not in use. It had never worked for peers.

Evidence: TestForwardedCallUnreadAtStopIsRead failed with 'i/o timeout' for the read of the waiting call.

Change: the wrapper passes on the socket. The test passes.

--- a/common/meter/meter.go
+++ b/common/meter/meter.go
@@ -5,6 +5,9 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Meter counts bytes read and written, without TCP and IP headers.
@@ -41,6 +44,19 @@
 	assigned atomic.Pointer[Meter]
 }
 
+var _ syscall.Conn = (*Conn)(nil)
+
+// SyscallConn gives access to the connection's socket, for socket.Peek. The
+// error says that the wrapped connection has none.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
+	wrapped, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.Newf("%T is no socket", c.Conn)
+	}
+	raw, err := wrapped.SyscallConn()
+	return raw, errors.Wrap(err, "get socket")
+}
+
 // SetMeter makes the meter count all bytes of the connection, including those
 // so far. Only the first call has an effect.
 func (c *Conn) SetMeter(m *Meter) {
