common/logs, lentilferryd: Bound the last write of log lines

A process whose standard output blocks didn't end after a planned stop and was there until the platform killed it. Found by reading; no process was seen in that state.

Cause: the process waited without a bound until the queued lines were written.

Evidence: TestBlockedOutputKeepsProcessFromEnding, on the code before, moved unchanged from the daemon into the package so that a test can reach it: "waits for the blocked output", given up after 2 s.

Change: the wait for the last lines is at most 0.1 s. Lines that an output takes no longer to write are written as before.

Measured: the package passes with the race detector.

--- a/common/logs/logs.go
+++ b/common/logs/logs.go
@@ -27,6 +27,8 @@
 	_maxLineBytes = 4 << 10
 	// _bufferBytes is the size of the output buffer.
 	_bufferBytes = 16 << 10
+	// _flushTimeout bounds writing the queued lines when the process ends.
+	_flushTimeout = 100 * time.Millisecond
 )
 
 // Limits bounds the rate of written lines.
@@ -71,6 +73,23 @@
 	return w.dropped.Load()
 }
 
+// Start runs the writer in the background. The returned function stops it and
+// writes the queued lines. If the output blocks, it returns after _flushTimeout.
+func (w *Writer) Start(out io.Writer) func() {
+	stop, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		w.Run(out, stop)
+	}()
+	return func() {
+		close(stop)
+		select {
+		case <-ended:
+		case <-time.After(_flushTimeout):
+		}
+	}
+}
+
 // Run writes lines to the output until stop is closed, then writes the queued
 // lines and returns.
 func (w *Writer) Run(out io.Writer, stop <-chan struct{}) {
--- a/common/logs/logs_test.go
+++ b/common/logs/logs_test.go
@@ -105,6 +105,25 @@
 	running.Wait()
 }
 
+// A process can end although its output blocks.
+func TestBlockedOutputKeepsProcessFromEnding(t *testing.T) {
+	w := New(DefaultLimits(), func() time.Time { return _start })
+	out := blockedWriter{release: make(chan struct{})}
+	defer close(out.release)
+	flush := w.Start(out)
+	NewLogger(w).Info("Stopped")
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		flush()
+	}()
+	select {
+	case <-ended:
+	case <-time.After(2 * time.Second):
+		t.Error("waits for the blocked output")
+	}
+}
+
 func BenchmarkLine(b *testing.B) {
 	w := New(Limits{VerbosePerSecond: 1 << 30}, time.Now)
 	l := NewLogger(w).WithValues("node", "n1")
--- a/lentilferryd/main.go
+++ b/lentilferryd/main.go
@@ -14,7 +14,6 @@
 	"os/signal"
 	"runtime/debug"
 	"strconv"
-	"sync"
 	"syscall"
 	"time"
 
@@ -105,15 +104,10 @@
 // flushes the queued ones.
 func startLogs(verbosity int) (*logs.Writer, func()) {
 	writer := logs.New(logs.DefaultLimits(), time.Now)
-	stop := make(chan struct{})
-	var running sync.WaitGroup
-	running.Go(func() { writer.Run(os.Stdout, stop) })
+	flush := writer.Start(os.Stdout)
 	klog.SetLogger(logs.NewLogger(writer))
 	setVerbosity(verbosity)
-	return writer, func() {
-		close(stop)
-		running.Wait()
-	}
+	return writer, flush
 }
 
 func setVerbosity(verbosity int) {
