docs, settings: Write up calls that come late in a planned stop

The settings' page says when a stop ends; the worst case of its last steps is the sum of their bounds.

--- a/settings/settings.go
+++ b/settings/settings.go
@@ -283,8 +283,8 @@
 
 // _killMargin is how long before the platform kills the process a planned stop
 // stops waiting for in-flight calls. Answering the interrupted ones, telling
-// peers and closing the servers takes up to 0.6 s, and the platform's signal may
-// arrive late.
+// peers, closing the servers and writing the last log lines takes up to 0.7 s, and
+// the platform's signal may arrive late.
 const _killMargin = 900 * time.Millisecond
 
 // drainTimeout returns the maximum wait for in-flight calls in a planned stop:
