operator: List and lift blocks of calls that crash upstreams

Operators could see that calls are refused because they crash upstreams, but neither which nor end a block that they know to be wrong or repaired. ListBlockedCalls returns all records of the node's table, those that are only counted included. LiftBlockedCall clears one, logs who did it and broadcasts the change to all zones, as crashes are. Lifting a call that was cleared before succeeds and changes nothing, so that a request can be sent to a second node after the first one's answer was lost.

--- a/commands/commands_test.go
+++ b/commands/commands_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"lentilferry.example/lentilferry/control"
+	"lentilferry.example/lentilferry/crash"
 	"lentilferry.example/lentilferry/internal/fakes/fakeplatform"
 	"lentilferry.example/lentilferry/membership"
 	"lentilferry.example/lentilferry/operator"
@@ -42,6 +43,9 @@
 	operations *control.Operations
 	holder     *revision.Holder
 	table      *membership.Table
+	crashes    *crash.Table
+	// lifts holds the operators who lifted blocks.
+	lifts []string
 }
 
 func (n *fakeNode) Operations() *control.Operations { return n.operations }
@@ -51,6 +55,12 @@
 	return membership.InForce{Revision: n.holder.Number()}
 }
 
+func (n *fakeNode) BlockedCalls(now time.Time) []crash.Record { return n.crashes.Records(now) }
+func (n *fakeNode) LiftBlockedCall(now time.Time, content crash.Content, operator string) (crash.Record, bool) {
+	n.lifts = append(n.lifts, operator)
+	return n.crashes.Lift(now, content)
+}
+
 // fixture runs the command line against a node, with a directory for files.
 type fixture struct {
 	t    *testing.T
@@ -61,7 +71,7 @@
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	n := &fakeNode{platform: fakeplatform.New(), holder: revision.NewHolder()}
+	n := &fakeNode{platform: fakeplatform.New(), holder: revision.NewHolder(), crashes: crash.New("n1")}
 	self := membership.Member{ID: "n1", Incarnation: 1, State: membership.Serving, Zone: "a", Service: "desk", Version: "v1", Slots: 4, PeerAddress: netip.MustParseAddrPort("10.0.0.1:7102")}
 	n.table = membership.New(membership.DefaultTiming(), self, rand.New(rand.NewPCG(1, 1)), time.Now())
 	candidate := self
--- a/gen/lentilferry/v1/lentilferryv1connect/operator.connect.go
+++ b/gen/lentilferry/v1/lentilferryv1connect/operator.connect.go
@@ -52,6 +52,12 @@
 	OperatorServiceGetConfigProcedure = "/lentilferry.v1.OperatorService/GetConfig"
 	// OperatorServiceMembersProcedure is the fully-qualified name of the OperatorService's Members RPC.
 	OperatorServiceMembersProcedure = "/lentilferry.v1.OperatorService/Members"
+	// OperatorServiceListBlockedCallsProcedure is the fully-qualified name of the OperatorService's
+	// ListBlockedCalls RPC.
+	OperatorServiceListBlockedCallsProcedure = "/lentilferry.v1.OperatorService/ListBlockedCalls"
+	// OperatorServiceLiftBlockedCallProcedure is the fully-qualified name of the OperatorService's
+	// LiftBlockedCall RPC.
+	OperatorServiceLiftBlockedCallProcedure = "/lentilferry.v1.OperatorService/LiftBlockedCall"
 )
 
 // OperatorServiceClient is a client for the lentilferry.v1.OperatorService service.
@@ -72,6 +78,10 @@
 	GetConfig(context.Context, *connect.Request[v1.GetConfigRequest]) (*connect.Response[v1.GetConfigResponse], error)
 	// Members returns the members that the node knows.
 	Members(context.Context, *connect.Request[v1.MembersRequest]) (*connect.Response[v1.MembersResponse], error)
+	// ListBlockedCalls returns the calls that were running when upstreams crashed.
+	ListBlockedCalls(context.Context, *connect.Request[v1.ListBlockedCallsRequest]) (*connect.Response[v1.ListBlockedCallsResponse], error)
+	// LiftBlockedCall allows a blocked call again, at all nodes.
+	LiftBlockedCall(context.Context, *connect.Request[v1.LiftBlockedCallRequest]) (*connect.Response[v1.LiftBlockedCallResponse], error)
 }
 
 // NewOperatorServiceClient constructs a client for the lentilferry.v1.OperatorService service. By
@@ -133,19 +143,33 @@
 			connect.WithSchema(operatorServiceMethods.ByName("Members")),
 			connect.WithClientOptions(opts...),
 		),
+		listBlockedCalls: connect.NewClient[v1.ListBlockedCallsRequest, v1.ListBlockedCallsResponse](
+			httpClient,
+			baseURL+OperatorServiceListBlockedCallsProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("ListBlockedCalls")),
+			connect.WithClientOptions(opts...),
+		),
+		liftBlockedCall: connect.NewClient[v1.LiftBlockedCallRequest, v1.LiftBlockedCallResponse](
+			httpClient,
+			baseURL+OperatorServiceLiftBlockedCallProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("LiftBlockedCall")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // operatorServiceClient implements OperatorServiceClient.
 type operatorServiceClient struct {
-	plan        *connect.Client[v1.PlanRequest, v1.PlanResponse]
-	confirm     *connect.Client[v1.ConfirmRequest, v1.ConfirmResponse]
-	reject      *connect.Client[v1.RejectRequest, v1.RejectResponse]
-	rollback    *connect.Client[v1.RollbackRequest, v1.RollbackResponse]
-	status      *connect.Client[v1.StatusRequest, v1.StatusResponse]
-	applyConfig *connect.Client[v1.ApplyConfigRequest, v1.ApplyConfigResponse]
-	getConfig   *connect.Client[v1.GetConfigRequest, v1.GetConfigResponse]
-	members     *connect.Client[v1.MembersRequest, v1.MembersResponse]
+	plan             *connect.Client[v1.PlanRequest, v1.PlanResponse]
+	confirm          *connect.Client[v1.ConfirmRequest, v1.ConfirmResponse]
+	reject           *connect.Client[v1.RejectRequest, v1.RejectResponse]
+	rollback         *connect.Client[v1.RollbackRequest, v1.RollbackResponse]
+	status           *connect.Client[v1.StatusRequest, v1.StatusResponse]
+	applyConfig      *connect.Client[v1.ApplyConfigRequest, v1.ApplyConfigResponse]
+	getConfig        *connect.Client[v1.GetConfigRequest, v1.GetConfigResponse]
+	members          *connect.Client[v1.MembersRequest, v1.MembersResponse]
+	listBlockedCalls *connect.Client[v1.ListBlockedCallsRequest, v1.ListBlockedCallsResponse]
+	liftBlockedCall  *connect.Client[v1.LiftBlockedCallRequest, v1.LiftBlockedCallResponse]
 }
 
 // Plan calls lentilferry.v1.OperatorService.Plan.
@@ -188,6 +212,16 @@
 	return c.members.CallUnary(ctx, req)
 }
 
+// ListBlockedCalls calls lentilferry.v1.OperatorService.ListBlockedCalls.
+func (c *operatorServiceClient) ListBlockedCalls(ctx context.Context, req *connect.Request[v1.ListBlockedCallsRequest]) (*connect.Response[v1.ListBlockedCallsResponse], error) {
+	return c.listBlockedCalls.CallUnary(ctx, req)
+}
+
+// LiftBlockedCall calls lentilferry.v1.OperatorService.LiftBlockedCall.
+func (c *operatorServiceClient) LiftBlockedCall(ctx context.Context, req *connect.Request[v1.LiftBlockedCallRequest]) (*connect.Response[v1.LiftBlockedCallResponse], error) {
+	return c.liftBlockedCall.CallUnary(ctx, req)
+}
+
 // OperatorServiceHandler is an implementation of the lentilferry.v1.OperatorService service.
 type OperatorServiceHandler interface {
 	// Plan plans a rollout, which waits for Confirm or Reject.
@@ -206,6 +240,10 @@
 	GetConfig(context.Context, *connect.Request[v1.GetConfigRequest]) (*connect.Response[v1.GetConfigResponse], error)
 	// Members returns the members that the node knows.
 	Members(context.Context, *connect.Request[v1.MembersRequest]) (*connect.Response[v1.MembersResponse], error)
+	// ListBlockedCalls returns the calls that were running when upstreams crashed.
+	ListBlockedCalls(context.Context, *connect.Request[v1.ListBlockedCallsRequest]) (*connect.Response[v1.ListBlockedCallsResponse], error)
+	// LiftBlockedCall allows a blocked call again, at all nodes.
+	LiftBlockedCall(context.Context, *connect.Request[v1.LiftBlockedCallRequest]) (*connect.Response[v1.LiftBlockedCallResponse], error)
 }
 
 // NewOperatorServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -263,6 +301,18 @@
 		connect.WithSchema(operatorServiceMethods.ByName("Members")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceListBlockedCallsHandler := connect.NewUnaryHandler(
+		OperatorServiceListBlockedCallsProcedure,
+		svc.ListBlockedCalls,
+		connect.WithSchema(operatorServiceMethods.ByName("ListBlockedCalls")),
+		connect.WithHandlerOptions(opts...),
+	)
+	operatorServiceLiftBlockedCallHandler := connect.NewUnaryHandler(
+		OperatorServiceLiftBlockedCallProcedure,
+		svc.LiftBlockedCall,
+		connect.WithSchema(operatorServiceMethods.ByName("LiftBlockedCall")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/lentilferry.v1.OperatorService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OperatorServicePlanProcedure:
@@ -281,6 +331,10 @@
 			operatorServiceGetConfigHandler.ServeHTTP(w, r)
 		case OperatorServiceMembersProcedure:
 			operatorServiceMembersHandler.ServeHTTP(w, r)
+		case OperatorServiceListBlockedCallsProcedure:
+			operatorServiceListBlockedCallsHandler.ServeHTTP(w, r)
+		case OperatorServiceLiftBlockedCallProcedure:
+			operatorServiceLiftBlockedCallHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -321,3 +375,11 @@
 func (UnimplementedOperatorServiceHandler) Members(context.Context, *connect.Request[v1.MembersRequest]) (*connect.Response[v1.MembersResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lentilferry.v1.OperatorService.Members is not implemented"))
 }
+
+func (UnimplementedOperatorServiceHandler) ListBlockedCalls(context.Context, *connect.Request[v1.ListBlockedCallsRequest]) (*connect.Response[v1.ListBlockedCallsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lentilferry.v1.OperatorService.ListBlockedCalls is not implemented"))
+}
+
+func (UnimplementedOperatorServiceHandler) LiftBlockedCall(context.Context, *connect.Request[v1.LiftBlockedCallRequest]) (*connect.Response[v1.LiftBlockedCallResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lentilferry.v1.OperatorService.LiftBlockedCall is not implemented"))
+}
--- a/node/node.go
+++ b/node/node.go
@@ -394,7 +394,7 @@
 		Budgets:          retry.NewBudgets[config.ServiceName](n.deps.Retries),
 		NodeCount:        n.members.MemberCount,
 		Crashes:          n.crashes,
-		CrashesChanged:   func() { n.broadcasts.Add(membership.ScopeAllZones) },
+		CrashesChanged:   n.crashesChanged,
 		ShareSlotsFairly: n.upstreamRegistry == nil,
 		Metrics:          call.NewMetrics(n.metrics, "ingress"),
 		Logger:           n.deps.Logger,
--- a/operator/server.go
+++ b/operator/server.go
@@ -12,6 +12,7 @@
 	"lentilferry.example/lentilferry/common/faults"
 	"lentilferry.example/lentilferry/config"
 	"lentilferry.example/lentilferry/control"
+	"lentilferry.example/lentilferry/crash"
 	lentilferryv1 "lentilferry.example/lentilferry/gen/lentilferry/v1"
 	"lentilferry.example/lentilferry/gen/lentilferry/v1/lentilferryv1connect"
 	"lentilferry.example/lentilferry/membership"
@@ -27,6 +28,12 @@
 	Holder() *revision.Holder
 	Members() *membership.Table
 	InForce(ctx context.Context, now time.Time) membership.InForce
+	// BlockedCalls returns all records of calls that were running when upstreams
+	// crashed.
+	BlockedCalls(now time.Time) []crash.Record
+	// LiftBlockedCall clears a call and returns its record as it was before;
+	// false if the call is not on record.
+	LiftBlockedCall(now time.Time, content crash.Content, operator string) (crash.Record, bool)
 }
 
 // Server handles the requests of the operator API.
@@ -73,9 +80,7 @@
 // its operator and operation.
 func requireIdentity(operator, operation string) error {
 	var missing faults.List
-	if operator == "" {
-		missing.Addf("operator", "is empty; name the operator who sends the request")
-	}
+	requireOperator(&missing, operator)
 	if operation == "" {
 		missing.Addf("operation", "is empty; give the request an ID of its own, so that it can be repeated")
 	}
@@ -85,6 +90,13 @@
 	return nil
 }
 
+// requireOperator adds a fault if a request doesn't name its operator.
+func requireOperator(missing *faults.List, operator string) {
+	if operator == "" {
+		missing.Addf("operator", "is empty; name the operator who sends the request")
+	}
+}
+
 // Plan plans a rollout, which then waits for confirmation.
 func (s *Server) Plan(ctx context.Context, r *connect.Request[lentilferryv1.PlanRequest]) (*connect.Response[lentilferryv1.PlanResponse], error) {
 	if err := requireIdentity(r.Msg.GetOperator(), r.Msg.GetOperation()); err != nil {
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -92,3 +92,26 @@
 	messages[0].Content = messages[0].GetContent()[1:]
 	assert.Equal(t, len(wire.DecodeCrashRecords(now, messages)), 0)
 }
+
+// Operators get each runner once, and durations instead of times.
+func TestEncodeBlockedCall(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	v1, v2 := crash.Runner{Service: "s", Version: "v1"}, crash.Runner{Service: "s", Version: "v2"}
+	r := crash.Record{
+		Content: crash.Content{0xab}, Label: "GET h/p", Trips: 2, ChangedAt: now.Add(-2500 * time.Millisecond),
+		Crashes: []crash.Crash{{Process: 1, Runner: v1}, {Process: 2, Runner: v2}, {Process: 3, Runner: v1}},
+	}
+	got := wire.EncodeBlockedCall(now, r)
+	assert.Equal(t, got.GetContent(), r.Content.String())
+	assert.Equal(t, got.GetLabel(), "GET h/p")
+	assert.Equal(t, got.GetCrashes(), uint32(3))
+	assert.Equal(t, got.GetTrips(), uint32(2))
+	assert.Equal(t, got.GetAgeMillis(), uint64(2500))
+	assert.Assert(t, got.GetBlocked())
+	assert.Equal(t, got.GetBlockEndsInMillis(), uint64(r.BlockedUntil().Sub(now).Milliseconds()))
+	assert.Equal(t, len(got.GetRunners()), 2)
+	assert.Equal(t, got.GetRunners()[1].GetVersion(), "v2")
+
+	got = wire.EncodeBlockedCall(r.BlockedUntil(), r)
+	assert.Assert(t, !got.GetBlocked() && got.GetBlockEndsInMillis() == 0)
+}
