commands: List and lift blocked calls

'lentilferry blocked' lists the calls on record with their state, and 'lentilferry unblock CONTENT' lifts one.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -187,6 +187,8 @@
 		c.watchCommand(flags),
 		c.configCommand(flags),
 		c.membersCommand(flags),
+		c.blockedCommand(flags),
+		c.unblockCommand(flags),
 		c.explainCommand(flags),
 		c.versionCommand(flags),
 	}
