commands: Explain calls that crashed upstreams

It prints numbers as they were logged now, and what the reasons mean.

TestCallTraceOutcome and TestCallTraceOfCrashes fail on the code before and pass now; the lines in the latter are those of a cluster run.

--- a/commands/explain.go
+++ b/commands/explain.go
@@ -103,7 +103,11 @@
 			continue
 		}
 		var fields map[string]any
-		if err := json.Unmarshal([]byte(text[start:]), &fields); err != nil {
+		decoder := json.NewDecoder(strings.NewReader(text[start:]))
+		// Numbers are printed as they were logged: IDs are longer than the digits
+		// of a float64.
+		decoder.UseNumber()
+		if err := decoder.Decode(&fields); err != nil {
 			t.unparsed++
 			continue
 		}
@@ -174,6 +178,9 @@
 	"broken":           "the connection broke after it was sent, so it may have been run",
 	"canceled":         "the caller disconnected",
 	"duplicate":        "a call with the same ID had arrived before",
+	"upstream-crashed": "the upstream's process ended after it was sent, so it may have been run",
+	"crashes-upstreams": "it has crashed each upstream that ran it, so it is refused until a trial call is answered; 'lentilferry blocked' " +
+		"lists such calls, 'lentilferry unblock' lifts the block",
 }
 
 // outcomeText says why the call ended as it did, by the last line that has an
