node: Test that a lifted block ends at all nodes

Six nodes in two zones, gossip every 5 s: a call crashes upstreams until it is blocked for 6 s at all, an operator lifts the block at one, and all others allow the call within a second.

--- a/node/crashing_call_integration_test.go
+++ b/node/crashing_call_integration_test.go
@@ -149,12 +149,18 @@
 func newCrashCase(t *testing.T) *crashCase {
 	t.Helper()
 	c := &crashCase{hostedCluster: newHostedCluster(t)}
+	c.startAll()
+	return c
+}
+
+// startAll starts six nodes in two zones and waits until they serve plain calls.
+func (c *crashCase) startAll() {
+	c.t.Helper()
 	c.configure(2, `,{"name":"slips","path-prefix":"/slips/","kind":"idempotent","timeout":"2s","service":"desk","attempts":2}`)
 	for i := range 6 {
 		c.upstreams = append(c.upstreams, c.startCrashing(fmt.Sprint("n", i), []membership.Zone{"a", "b"}[i%2]))
 	}
 	c.waitUntilPlainCallsAreServed()
-	return c
 }
 
 // get sends a call, always with the same body, through a node and returns its
--- a/node/hosted_integration_test.go
+++ b/node/hosted_integration_test.go
@@ -26,6 +26,7 @@
 	"lentilferry.example/lentilferry/lease"
 	"lentilferry.example/lentilferry/membership"
 	"lentilferry.example/lentilferry/node"
+	"lentilferry.example/lentilferry/operator"
 	"lentilferry.example/lentilferry/platform"
 	"lentilferry.example/lentilferry/rollout"
 	"lentilferry.example/lentilferry/upstream"
@@ -49,6 +50,9 @@
 	ids   atomic.Int64
 	// leaveNotice is the leave notice of nodes that are started from now on.
 	leaveNotice time.Duration
+	// gossipInterval is that of nodes that are started from now on, 0 for a short
+	// one.
+	gossipInterval time.Duration
 }
 
 // hostedNode is a node and its upstream.
@@ -138,12 +142,16 @@
 	timing := node.DefaultTiming()
 	timing.DrainTimeout, timing.LeaveNotice = _drainTimeout, max(c.leaveNotice, 50*time.Millisecond)
 	timing.GossipInterval, timing.ZoneGossipInterval, timing.HealthCheckInterval = 50*time.Millisecond, 100*time.Millisecond, 50*time.Millisecond
+	if c.gossipInterval > 0 {
+		timing.GossipInterval, timing.ZoneGossipInterval = c.gossipInterval, 2*c.gossipInterval
+	}
 	n.Node = node.New(node.Dependencies{
 		ID: membership.NodeID(id), Region: "r", Zone: zone, PeerAddress: netip.MustParseAddrPort(l.Peers.Addr().String()),
 		Upstream: node.Upstream{Service: "desk", Address: address, SelfAnnounced: true},
 		Timing:   timing, Membership: membership.DefaultTiming(), Lease: lease.DefaultTiming(),
 		Platform: client, ConfigSource: platform.NewConfigWatcher(client, wire.Codec{}), OrderStore: platform.NewOrderStore(client, klog.Logger{}),
 		Dialect: platform.Headers{}, StoreEra: client.StoreEra, Listeners: l, Logger: klog.Logger{}, Now: time.Now,
+		OperatorHandler: func(n *node.Node) (string, http.Handler) { return operator.New(n, time.Now).Handler() },
 	})
 	n.calls = "http://" + l.Calls.Addr().String()
 	n.admin = "http://" + l.Admin.Addr().String()
