call: Bound the body of a refused call

A caller whose call the node refused (draining, no route, no configuration) got no answer as long as its body stalled, and its connection was held without a bound.

Cause: net/http reads the rest of a body of up to 256 KB before it sends the head of a response. Only accepted calls had a read deadline.

Change: a refusal sets the read deadline to a second from now, as the drain of an accepted call does.

--- a/call/ingress.go
+++ b/call/ingress.go
@@ -259,6 +259,8 @@
 
 // refuse responds to a call that was not run.
 func (i *Ingress) refuse(w http.ResponseWriter, r *http.Request, reason Reason) {
+	// The server reads the rest of a short body before it sends the response.
+	setReadDeadline(w, r, i.deps.Now())
 	result := Result{Outcome: NotRun, Reason: reason}
 	i.deps.Metrics.count(result)
 	i.deps.Logger.Info("Refused call", "call", i.deps.Dialect.CallID(r.Header), "host", r.Host, "path", r.URL.Path, "reason", reason)
