crash: Send records of calls that are not blocked for 10 s only

A crash leaves a record of each call that was running, and each went to all nodes with each message for two minutes: 1.0 KB/s for each record and node, 35 KB/s with the 32 that a message holds, for a bound of 11 KB/s (docs/CAPACITY.md).

Change: a record is sent while its call is or was blocked, otherwise for 10 s after a change, and again when another node sends an older one, so that a node which missed that a call was cleared learns it (TestOldRecordIsAnswered). TestTablesConverge compares all records; its random waits go beyond 10 s.

--- a/crash/table.go
+++ b/crash/table.go
@@ -15,6 +15,9 @@
 	_maxRecords = 256
 	// _maxSharedRecords bounds the records that a node sends in one message.
 	_maxSharedRecords = 32
+	// _shareFor is how long a record of a call that is not blocked is sent to
+	// other nodes after a change, or after another node has sent an older one.
+	_shareFor = 10 * time.Second
 	// _trialTimeout is how long nodes wait for the outcome of a trial call before
 	// they let the next one through.
 	_trialTimeout = 3 * time.Second
@@ -65,6 +68,9 @@
 // entry is a record and what this node alone knows of the call.
 type entry struct {
 	record Record
+	// shareUntil is until when the record is sent to other nodes although the
+	// call is not blocked.
+	shareUntil time.Time
 	// sound holds the runners that have answered the call since it was blocked
 	// for others.
 	sound map[Runner]bool
@@ -130,7 +136,7 @@
 		t.refused++
 		return Blocked, until.Sub(now)
 	}
-	e.record.TrialAt = now
+	e.record.TrialAt, e.shareUntil = now, now.Add(_shareFor)
 	return Trial, 0
 }
 
@@ -159,6 +165,7 @@
 	}
 	e.record.TrialAt = time.Time{}
 	delete(e.sound, c.Runner)
+	e.shareUntil = now.Add(_shareFor)
 	changed := e.record.addCrash(now, c)
 	if e.record.Label == "" {
 		e.record.Label = call.Label
@@ -185,6 +192,7 @@
 		}
 		return false
 	}
+	e.shareUntil = now.Add(_shareFor)
 	e.record.clear(now, func(c Crash) bool { return c.Runner == runner })
 	return true
 }
@@ -208,6 +216,7 @@
 		return Record{}, false
 	}
 	before := e.record
+	e.shareUntil = now.Add(_shareFor)
 	e.record.clear(now, func(Crash) bool { return true })
 	return before, true
 }
@@ -225,39 +234,50 @@
 		if len(r.Crashes) == 0 {
 			return false, false
 		}
-		t.add(now, r)
+		t.add(now, r).shareUntil = now.Add(_shareFor)
 		return true, r.Trips > 0
 	}
+	if r.Generation != e.record.Generation || r.Trips != e.record.Trips {
+		e.shareUntil = now.Add(_shareFor)
+	}
 	trips := e.record.Trips
 	generation := e.record.Generation
 	if !e.record.merge(now, r) {
 		return false, false
 	}
+	e.shareUntil = now.Add(_shareFor)
 	if e.record.Generation != generation {
 		e.sound = nil
 	}
 	return true, e.record.Trips > trips
 }
 
-// Shared returns the records to send to other nodes: those of blocked calls
-// first, then those with most crashes, then the newest.
+// Shared returns the records to send to other nodes, in the order of Records:
+// those of calls that are or were blocked, and others for _shareFor.
 func (t *Table) Shared(now time.Time) []Record {
 	if t.Empty() {
 		return nil
 	}
-	records := t.Records(now)
+	records := t.records(now, func(e *entry) bool { return e.record.Trips > 0 || now.Before(e.shareUntil) })
 	return records[:min(_maxSharedRecords, len(records))]
 }
 
-// Records returns all records in the order of Shared, and drops those that have
-// expired.
+// Records returns all records, and drops those that have expired. Those of
+// blocked calls come first, then those with most crashes, then the newest.
 func (t *Table) Records(now time.Time) []Record {
+	return t.records(now, func(*entry) bool { return true })
+}
+
+// records returns the records of the entries for which include is true.
+func (t *Table) records(now time.Time, include func(*entry) bool) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.prune(now)
 	records := make([]Record, 0, len(t.entries))
 	for _, e := range t.entries {
-		records = append(records, e.record)
+		if include(e) {
+			records = append(records, e.record)
+		}
 	}
 	slices.SortFunc(records, byWeight)
 	return records
