call: End the reads of HTTP/2 bodies with their calls

A caller over HTTP/2 whose body stalled got no answer at its deadline, and the end of a planned stop closed its connection without an answer.

Cause: the handler waits for the request's body where it sends a short body before it reads the response, and in http.Transport, which returns only after its writer has ended. Reads of HTTP/1 bodies have a deadline, and a stop ends them at the connection; HTTP/2 had neither.

Evidence: TestStalledHTTP2UploadIsAnswered got no answer in 7 of 12 cases: 3 at the deadline, until the caller gave up after 3 s, and 4 at the end of a stop.

Change: the end of the call's context ends the reads of an HTTP/2 body. All 12 cases are answered in time, with the race detector too.

--- a/call/body.go
+++ b/call/body.go
@@ -1,6 +1,7 @@
 package call
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/textproto"
@@ -165,6 +166,31 @@
 	}
 }
 
+// endReadsWith ends the reads of an HTTP/2 request's body when the context ends.
+// HTTP/1 connections have read deadlines; see setReadDeadline. The returned
+// function ends that, and must be called before the handler returns.
+func endReadsWith(ctx context.Context, w http.ResponseWriter, r *http.Request) func() {
+	if r.ProtoMajor == 1 || r.ContentLength == 0 {
+		return func() {}
+	}
+	var mu sync.Mutex
+	hasReturned := false
+	stop := context.AfterFunc(ctx, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		// The response writer must not be used once the handler has returned.
+		if !hasReturned {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
+		}
+	})
+	return func() {
+		stop()
+		mu.Lock()
+		defer mu.Unlock()
+		hasReturned = true
+	}
+}
+
 // setWriteDeadline bounds how long an HTTP/1 caller may take to read a response
 // that is still being received from the upstream: until _drainTimeout after the
 // caller's deadline. A caller that stops reading would otherwise hold the
