node: Leave HTTP/2 connections open at the end of a stop

Callers over HTTP/2 whose calls a planned stop interrupted could see a closed connection without an answer, and did if the node took more than 5 ms to answer.

Cause: the end of a stop ends the reads of connections that are in use, so that handlers don't wait for bodies. The server does report HTTP/2 connections as in use, other than a comment said, and closes them when a read fails, whatever their streams still have to send.

Change: connections that carry HTTP/2 are left out; the reads of their bodies end with the calls.

--- a/node/caller_conns.go
+++ b/node/caller_conns.go
@@ -48,6 +48,35 @@
 	since time.Time
 	// ended is set once the read deadline was set to end the connection.
 	ended bool
+	// isHTTP2 is set once the connection has carried an HTTP/2 request.
+	isHTTP2 bool
+}
+
+type callerConnKey struct{}
+
+// connContext stores an accepted connection in the context of its requests. It
+// is a ConnContext hook of http.Server.
+func connContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, callerConnKey{}, conn)
+}
+
+// handler returns a handler that records the connections of HTTP/2 requests
+// before it passes them on. It needs the server's ConnContext hook.
+func (c *callerConns) handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if conn, ok := r.Context().Value(callerConnKey{}).(net.Conn); ok && r.ProtoMajor > 1 {
+			c.recordHTTP2(conn)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (c *callerConns) recordHTTP2(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if entry, ok := c.open[conn]; ok {
+		entry.isHTTP2 = true
+	}
 }
 
 func newCallerConns() *callerConns {
@@ -78,7 +107,7 @@
 	case http.StateNew:
 		c.open[conn] = &callerConn{since: now}
 	case http.StateIdle:
-		c.open[conn] = &callerConn{since: now, hasResponded: true}
+		c.open[conn] = &callerConn{since: now, hasResponded: true, isHTTP2: c.isHTTP2(conn)}
 	case http.StateActive:
 		entry, ok := c.open[conn]
 		if ok && entry.ended {
@@ -86,12 +115,19 @@
 			// Fails only on a closed connection, of which no body can be read.
 			_ = conn.SetReadDeadline(time.Time{})
 		}
-		c.open[conn] = &callerConn{inUse: true}
+		c.open[conn] = &callerConn{inUse: true, isHTTP2: c.isHTTP2(conn)}
 	default:
 		delete(c.open, conn)
 	}
 }
 
+// isHTTP2 reports whether a connection has carried an HTTP/2 request. The caller
+// holds c.mu.
+func (c *callerConns) isHTTP2(conn net.Conn) bool {
+	entry, ok := c.open[conn]
+	return ok && entry.isHTTP2
+}
+
 // closeExpired ends the connections that were idle for longer than the bound
 // and returns how many it ended. A bound of 0 ends none.
 func (c *callerConns) closeExpired(now time.Time, bound time.Duration) int {
@@ -141,13 +177,13 @@
 
 // stopReading ends the reading of requests whose bodies have not arrived: their
 // handlers wait for the bodies, and the server reads the rest of a body before
-// it sends the response. It doesn't affect HTTP/2 connections, which the server
-// never reports as active.
+// it sends the response. HTTP/2 connections are left alone: without reading, the
+// server closes them at once, whatever it has still to send.
 func (c *callerConns) stopReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, entry := range c.open {
-		if entry.inUse {
+		if entry.inUse && !entry.isHTTP2 {
 			// Fails only on a closed connection.
 			_ = conn.SetReadDeadline(_pastDeadline)
 		}
--- a/node/servers.go
+++ b/node/servers.go
@@ -28,8 +28,9 @@
 // calls are derived from callsCtx.
 func (n *Node) servers(callsCtx context.Context) []boundServer {
 	newContext := func(net.Listener) context.Context { return callsCtx }
-	calls := n.newServer(n.ingress)
+	calls := n.newServer(n.callerConns.handler(n.ingress))
 	calls.BaseContext = newContext
+	calls.ConnContext = connContext
 	calls.ConnState = func(conn net.Conn, state http.ConnState) { n.callerConns.trackState(n.deps.Now(), conn, state) }
 	peers := n.newServer(n.peerHandler())
 	peers.ConnState = func(conn net.Conn, state http.ConnState) { n.peerConns.trackState(n.deps.Now(), conn, state) }
