node: Answer the calls that a second signal interrupts

A second SIGTERM during a planned stop closed the connections of callers whose bodies came slowly without an answer, though their calls had been passed on.

Cause: the context that bounds the answers of interrupted calls was derived from the one that the second signal ends, so that the reads of their bodies were not ended.

--- a/node/servers.go
+++ b/node/servers.go
@@ -186,9 +186,10 @@
 	n.deps.Logger.Info("Draining", "node", n.deps.ID)
 	drainCtx, cancel := context.WithTimeout(ctx, n.deps.Timing.DrainTimeout)
 	defer cancel()
-	answerCtx, cancelAnswers := context.WithTimeout(ctx, n.deps.Timing.DrainTimeout+_answerTimeout)
+	// Calls that a second signal interrupts are answered too.
+	answerCtx, cancelAnswers := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancelAnswers()
-	noticeOver := time.After(n.deps.Timing.LeaveNotice)
+	noticeEnd := time.Now().Add(n.deps.Timing.LeaveNotice)
 	n.stopping.Store(true)
 	end := n.deps.Now().Add(n.deps.Timing.DrainTimeout)
 	n.ingress.LimitTime(end)
@@ -197,10 +198,7 @@
 	sleep(ctx, n.deps.Timing.LeaveNotice-_peerNotice)
 	n.announceLeaving()
 	n.notifyLeaving(ctx)
-	select {
-	case <-noticeOver:
-	case <-ctx.Done():
-	}
+	sleep(ctx, time.Until(noticeEnd))
 	n.drainGate()
 	n.ingress.StopAccepting()
 	released, finished := make(chan struct{}), make(chan struct{})
@@ -221,6 +219,7 @@
 	case <-drainCtx.Done():
 		n.deps.Logger.Info("Drain timed out, interrupting in-flight calls", "node", n.deps.ID)
 		interrupt(call.ErrInterrupted)
+		defer time.AfterFunc(_answerTimeout, cancelAnswers).Stop()
 		n.awaitAnswers(answerCtx, finished)
 	}
 	select {
