node: Test that another version serves a call that crashed the first

Six upstreams crash by the call, then two of a version that runs it well join and the operator moves the service to it.

Guards the block, which binds only the versions that crashed.

--- a/node/crashing_call_integration_test.go
+++ b/node/crashing_call_integration_test.go
@@ -15,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"lentilferry.example/lentilferry/config"
 	"lentilferry.example/lentilferry/membership"
 	"lentilferry.example/lentilferry/upstream"
 )
@@ -44,6 +45,8 @@
 type crashingUpstream struct {
 	t       *testing.T
 	address string
+	// immune makes it answer the calls of _crashingPath.
+	immune bool
 
 	mu   sync.Mutex
 	node *hostedNode
@@ -55,15 +58,20 @@
 	running sync.WaitGroup
 }
 
-// startCrashing starts a node with a crashingUpstream.
+// startCrashing starts a node with a crashingUpstream of version v1.
 func (c *hostedCluster) startCrashing(id string, zone membership.Zone) *crashingUpstream {
 	c.t.Helper()
-	u := &crashingUpstream{t: c.t, address: "127.0.0.1:0"}
+	return c.startUpstream(&crashingUpstream{t: c.t, address: "127.0.0.1:0"}, id, zone, "v1")
+}
+
+// startUpstream starts a node with an upstream of the given version.
+func (c *hostedCluster) startUpstream(u *crashingUpstream, id string, zone membership.Zone, version config.VersionName) *crashingUpstream {
+	c.t.Helper()
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.listenLocked()
 	c.t.Cleanup(u.close)
-	u.node = c.startNode(&hostedNode{}, id, zone, "v1", netip.MustParseAddrPort(u.address))
+	u.node = c.startNode(&hostedNode{}, id, zone, version, netip.MustParseAddrPort(u.address))
 	return u
 }
 
@@ -91,8 +99,10 @@
 		u.mu.Lock()
 		u.runs = append(u.runs, time.Now())
 		u.mu.Unlock()
-		u.crash()
-		return
+		if !u.immune {
+			u.crash()
+			return
+		}
 	}
 	select {
 	case <-time.After(takes):
@@ -383,3 +393,27 @@
 	late := len(c.runTimes()) - crashed
 	assert.Check(t, late <= _maxLateRuns, "%d runs of calls that were sent to the started nodes", late)
 }
+
+func TestCrashingCallIsServedByAnotherVersion(t *testing.T) {
+	c := newCrashCase(t)
+	c.sendFor(2*time.Second, 50*time.Millisecond, _crashingPath, func(crashCaseCall) {})
+	c.sending.Wait()
+	crashed := len(c.runTimes())
+	assert.Assert(t, crashed >= _crashesToBlock, "%d crashes", crashed)
+	for _, id := range []string{"new0", "new1"} {
+		c.startUpstream(&crashingUpstream{t: t, address: "127.0.0.1:0", immune: true}, id, "a", "v2")
+	}
+	c.callUntil("all know the new version", c.serving(8))
+	c.store.Put("rollouts", "desk", `{"service":"desk","target-version":"v2","duration":"4s"}`)
+	c.callUntil("the move is complete", func() bool { return c.orderState() == "complete" })
+	var sent, served int
+	c.sendFor(2*time.Second, 50*time.Millisecond, _crashingPath, func(call crashCaseCall) {
+		sent++
+		if call.status == http.StatusOK {
+			served++
+		}
+	})
+	c.sending.Wait()
+	t.Logf("%d of %d served by the new version; %d runs of the old one", served, sent, len(c.runTimes()))
+	assert.Equal(t, served, sent)
+}
