--- a/node/servers.go
+++ b/node/servers.go
@@ -177,11 +177,12 @@
 
 // drain takes the node out of service. It reports the node as not ready and
 // closes callers' connections after their next response, so that they connect
-// to other nodes. New calls get no more time than the stop leaves. Near the end of Timing.LeaveNotice it tells peers to send no
-// more calls. After LeaveNotice it refuses new calls as not run, waits until
-// in-flight calls have ended, their responses were sent and the controller's lease
-// was released. Timing.DrainTimeout counts from the start of the drain; the
-// calls that are then still in flight are interrupted and answered.
+// to other nodes. New calls get no more time than the stop leaves. Near the end
+// of Timing.LeaveNotice it tells peers to send no more calls. After LeaveNotice
+// it refuses new calls as not run, and waits until in-flight calls have ended,
+// their responses were sent and the controller's lease was released.
+// Timing.DrainTimeout counts from the start of the drain; the calls that are then
+// still in flight are interrupted and answered.
 func (n *Node) drain(ctx context.Context, interrupt context.CancelCauseFunc) {
 	n.deps.Logger.Info("Draining", "node", n.deps.ID)
 	drainCtx, cancel := context.WithTimeout(ctx, n.deps.Timing.DrainTimeout)
