crash: Let each node try a version that has not crashed by itself

Cause: a trial at one node held up those of all others for 3 s, also with a version that had crashed nothing, and that this version had answered was known to one node.

Change: trials with a runner that has not crashed are counted at each node by itself. One crash still blocks the call for that runner at all nodes.

--- a/call/ingress_crash.go
+++ b/call/ingress_crash.go
@@ -56,7 +56,7 @@
 		c.reportAnswer(endpoint)
 	case c.isTrial:
 		if _, content, known := c.content(); known {
-			c.ingress.deps.Crashes.EndTrial(content)
+			c.ingress.deps.Crashes.EndTrial(content, runnerOf(endpoint))
 		}
 	}
 	c.isTrial = false
--- a/crash/record.go
+++ b/crash/record.go
@@ -67,8 +67,8 @@
 	// ChangedAt is when the call was last blocked, cleared or, before it is
 	// blocked, last crashed a process.
 	ChangedAt time.Time
-	// TrialAt is when a node last let a trial call through whose outcome isn't
-	// known; zero if there is none.
+	// TrialAt is when a node last let a trial call through to a runner that has
+	// crashed and whose outcome isn't known; zero if there is none.
 	TrialAt time.Time
 }
 
--- a/crash/table.go
+++ b/crash/table.go
@@ -71,6 +71,10 @@
 	// shareUntil is until when the record is sent to other nodes although the
 	// call is not blocked.
 	shareUntil time.Time
+	// newRunnerTrialAt is when this node last let a trial call through to a runner
+	// that has not crashed; zero if none is under way. Each node tries by itself:
+	// its other callers must not wait for the news of another node's trial.
+	newRunnerTrialAt time.Time
 	// sound holds the runners that have answered the call since it was blocked
 	// for others.
 	sound map[Runner]bool
@@ -122,21 +126,28 @@
 	if !ok || e.record.Trips == 0 || e.record.expired(now) || e.sound[runner] {
 		return Allowed, 0
 	}
-	until := e.record.BlockedUntil()
-	if e.record.hasCrashed(runner) {
-		until = until.Add(t.trialDelay(&e.record, nodes))
-	} else {
+	if !e.record.hasCrashed(runner) {
 		// Another version may run the call well.
-		until = now
+		return t.startTrial(now, now, &e.newRunnerTrialAt)
 	}
-	if !e.record.TrialAt.IsZero() {
-		until = later(until, e.record.TrialAt.Add(_trialTimeout))
+	verdict, wait := t.startTrial(now, e.record.BlockedUntil().Add(t.trialDelay(&e.record, nodes)), &e.record.TrialAt)
+	if verdict == Trial {
+		e.shareUntil = now.Add(_shareFor)
+	}
+	return verdict, wait
+}
+
+// startTrial returns Trial if the given time has come and no trial is under way
+// since trialAt, which it then sets. The caller holds t.mu.
+func (t *Table) startTrial(now, from time.Time, trialAt *time.Time) (Verdict, time.Duration) {
+	if !trialAt.IsZero() {
+		from = later(from, trialAt.Add(_trialTimeout))
 	}
-	if now.Before(until) {
+	if now.Before(from) {
 		t.refused++
-		return Blocked, until.Sub(now)
+		return Blocked, from.Sub(now)
 	}
-	e.record.TrialAt, e.shareUntil = now, now.Add(_shareFor)
+	*trialAt = now
 	return Trial, 0
 }
 
@@ -163,7 +174,7 @@
 	if !ok {
 		e = t.add(now, Record{Content: call.Content, Target: call.Target})
 	}
-	e.record.TrialAt = time.Time{}
+	e.endTrial(c.Runner)
 	delete(e.sound, c.Runner)
 	e.shareUntil = now.Add(_shareFor)
 	changed := e.record.addCrash(now, c)
@@ -182,7 +193,7 @@
 	if !ok {
 		return false
 	}
-	e.record.TrialAt = time.Time{}
+	e.endTrial(runner)
 	if !e.record.hasCrashed(runner) {
 		if e.record.Trips > 0 {
 			if e.sound == nil {
@@ -197,12 +208,22 @@
 	return true
 }
 
-// EndTrial records that a trial call has ended without showing anything.
-func (t *Table) EndTrial(content Content) {
+// EndTrial records that a trial call to a runner has ended without showing
+// anything.
+func (t *Table) EndTrial(content Content, runner Runner) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e, ok := t.entries[content]; ok {
+		e.endTrial(runner)
+	}
+}
+
+// endTrial records that no trial with a runner is under way.
+func (e *entry) endTrial(runner Runner) {
+	if e.record.hasCrashed(runner) {
 		e.record.TrialAt = time.Time{}
+	} else {
+		e.newRunnerTrialAt = time.Time{}
 	}
 }
 
--- a/crash/table_test.go
+++ b/crash/table_test.go
@@ -134,7 +134,7 @@
 	now = now.Add(wait)
 	verdict, _ := table.Check(now, call.Content, _v1, 1)
 	assert.Equal(t, verdict, Trial)
-	table.EndTrial(call.Content)
+	table.EndTrial(call.Content, _v1)
 	verdict, _ = table.Check(now, call.Content, _v1, 1)
 	assert.Equal(t, verdict, Trial, "the trial showed nothing")
 	assert.Assert(t, table.RecordAnswer(now, call.Content, _v1))
