crash: Send the last changed records first where there are too many

Seen (found by the one who wrote the operators' commands): with 40 blocked calls, one lifted at a node, ten exchanges later its peer still refused the call. A message holds 32 records, those of blocked calls first, so that a cleared one was never sent; one cleared by an answer was not either.

Change: of too many records, half of a message are those that changed last.

TestLiftSpreadsBesideManyBlocks: 64 blocked calls, one lifted; with the old choice the peer blocks it, now it is allowed.

--- a/crash/table.go
+++ b/crash/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -273,34 +274,46 @@
 	return true, e.record.Trips > trips
 }
 
-// Shared returns the records to send to other nodes, in the order of Records:
-// those of calls that are or were blocked, and others for _shareFor.
+// Shared returns the records to send to other nodes: those of calls that are or
+// were blocked, and others for _shareFor. If there are too many, half are the
+// last changed, cleared ones included, and half the most important.
 func (t *Table) Shared(now time.Time) []Record {
 	if t.Empty() {
 		return nil
 	}
-	records := t.records(now, func(e *entry) bool { return e.record.Trips > 0 || now.Before(e.shareUntil) })
-	return records[:min(_maxSharedRecords, len(records))]
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.prune(now)
+	var shared []*entry
+	for _, e := range t.entries {
+		if e.record.Trips > 0 || now.Before(e.shareUntil) {
+			shared = append(shared, e)
+		}
+	}
+	if len(shared) > _maxSharedRecords {
+		const newest = _maxSharedRecords / 2
+		slices.SortFunc(shared, func(a, b *entry) int { return b.shareUntil.Compare(a.shareUntil) })
+		slices.SortFunc(shared[newest:], byWeight)
+		shared = shared[:_maxSharedRecords]
+	}
+	slices.SortFunc(shared, byWeight)
+	return recordsOf(shared)
 }
 
 // Records returns all records, and drops those that have expired. Those of
 // blocked calls come first, then those with most crashes, then the newest.
 func (t *Table) Records(now time.Time) []Record {
-	return t.records(now, func(*entry) bool { return true })
-}
-
-// records returns the records of the entries for which include is true.
-func (t *Table) records(now time.Time, include func(*entry) bool) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.prune(now)
-	records := make([]Record, 0, len(t.entries))
-	for _, e := range t.entries {
-		if include(e) {
-			records = append(records, e.record)
-		}
+	return recordsOf(slices.SortedFunc(maps.Values(t.entries), byWeight))
+}
+
+func recordsOf(entries []*entry) []Record {
+	records := make([]Record, 0, len(entries))
+	for _, e := range entries {
+		records = append(records, e.record)
 	}
-	slices.SortFunc(records, byWeight)
 	return records
 }
 
@@ -322,13 +335,13 @@
 	return t.refused
 }
 
-// byWeight orders records by how much they matter, the most important first.
-func byWeight(a, b Record) int {
+// byWeight orders entries by how much their records matter, the most important first.
+func byWeight(a, b *entry) int {
 	return cmp.Or(
-		cmp.Compare(b.Trips, a.Trips),
-		cmp.Compare(len(b.Crashes), len(a.Crashes)),
-		b.ChangedAt.Compare(a.ChangedAt),
-		slices.Compare(a.Content[:], b.Content[:]),
+		cmp.Compare(b.record.Trips, a.record.Trips),
+		cmp.Compare(len(b.record.Crashes), len(a.record.Crashes)),
+		b.record.ChangedAt.Compare(a.record.ChangedAt),
+		slices.Compare(a.record.Content[:], b.record.Content[:]),
 	)
 }
 
@@ -341,7 +354,7 @@
 	if len(t.entries) >= _maxRecords {
 		var least *entry
 		for _, e := range t.entries {
-			if least == nil || byWeight(e.record, least.record) > 0 {
+			if least == nil || byWeight(e, least) > 0 {
 				least = e
 			}
 		}
--- a/crash/table_test.go
+++ b/crash/table_test.go
@@ -221,6 +221,28 @@
 	assert.Equal(t, table.BlockedCount(now), 0)
 }
 
+func TestLiftSpreadsBesideManyBlocks(t *testing.T) {
+	table, peer := New("n"), New("m")
+	lifted := testCall("0")
+	var now time.Time
+	for i := range 2 * _maxSharedRecords {
+		now = block(t, table, testCall(fmt.Sprint(i)), _v1, _start)
+		for _, r := range table.Shared(now) {
+			peer.Merge(now, r)
+		}
+	}
+	_, blocked := peer.IsBlocked(now, lifted.Content, _v1)
+	assert.Assert(t, blocked)
+	now = now.Add(time.Millisecond)
+	_, done := table.Lift(now, lifted.Content)
+	assert.Assert(t, done)
+	for _, r := range table.Shared(now) {
+		peer.Merge(now, r)
+	}
+	verdict, _ := peer.Check(now, lifted.Content, _v1, 1)
+	assert.Equal(t, verdict, Allowed)
+}
+
 // A flood of calls that were running at crashes leaves blocked ones in place.
 func TestTableIsBounded(t *testing.T) {
 	table, call := New("n"), testCall("bad")
