call: Answer a call whose body stalls at its deadline

A caller whose body stalled got its 504 a second after the deadline.

The read deadline of HTTP/1 bodies is a second after the call's.

Change: the end of the call's context ends the reads of an unfinished body, for HTTP/1 as for HTTP/2, and such a connection is closed after the answer. A read deadline that passes while the body is complete would cancel the connection's next calls (TestCallerGetsAnAnswerWhenOneIsCutAtTheUpstream shows that), so it is not set then.

--- a/call/body.go
+++ b/call/body.go
@@ -54,6 +54,14 @@
 	return !b.dropped
 }
 
+// hasEnded reports whether the body was read to its end. length is the request's
+// content length, -1 if unknown.
+func (b *replayBody) hasEnded(length int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.sourceErr != nil || int64(b.sourceBytes) == length
+}
+
 // newAttempt returns the body for the next attempt. It is never http.NoBody and
 // the request gets no GetBody, so that http.Transport doesn't retry the call on
 // its own.
@@ -166,28 +174,38 @@
 	}
 }
 
-// endReadsWith ends the reads of an HTTP/2 request's body when the context ends.
-// HTTP/1 connections have read deadlines; see setReadDeadline. The returned
-// function ends that, and must be called before the handler returns.
-func endReadsWith(ctx context.Context, w http.ResponseWriter, r *http.Request) func() {
-	if r.ProtoMajor == 1 || r.ContentLength == 0 {
+// endReadsWith ends the reads of a request's body when the context ends, unless
+// the body has been read. The returned function ends that, and must be called
+// before the handler returns.
+func endReadsWith(ctx context.Context, w http.ResponseWriter, r *http.Request, body *replayBody) func() {
+	if r.ContentLength == 0 {
 		return func() {}
 	}
 	var mu sync.Mutex
-	hasReturned := false
-	stop := context.AfterFunc(ctx, func() {
+	hasReturned, hasEndedReads := false, false
+	endReads := func() {
 		mu.Lock()
 		defer mu.Unlock()
 		// The response writer must not be used once the handler has returned.
-		if !hasReturned {
+		if !hasReturned && !hasEndedReads && !body.hasEnded(r.ContentLength) {
+			hasEndedReads = true
 			_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
 		}
-	})
+	}
+	stop := context.AfterFunc(ctx, endReads)
 	return func() {
 		stop()
+		if ctx.Err() != nil {
+			endReads()
+		}
 		mu.Lock()
 		defer mu.Unlock()
 		hasReturned = true
+		if hasEndedReads && r.ProtoMajor == 1 {
+			// A failed read may have canceled the context of the connection's next
+			// requests.
+			closeAfterResponse(w)
+		}
 	}
 }
 
--- a/call/ingress.go
+++ b/call/ingress.go
@@ -143,7 +143,7 @@
 	}
 	c := i.newCall(now, w, r, a)
 	setReadDeadline(w, r, c.deadline)
-	defer endReadsWith(ctx, w, r)()
+	defer endReadsWith(ctx, w, r, c.body)()
 	if needsFullDuplex(r) {
 		enableFullDuplex(w)
 		defer drainRequest(w, r)
