--- a/crash/content.go
+++ b/crash/content.go
@@ -5,8 +5,8 @@
 //
 // A call is known by its content, which includes its body, so that it is found
 // again at any node and under any call ID. It is blocked once it has crashed
-// three upstream processes, each of which began to run it after the one before
-// had crashed, without any answer in between. Calls that were merely running when
+// three upstream processes at different moments, each of which began to run it
+// after the one before had crashed, without any answer in between. Calls that were merely running when
 // upstreams crashed for another reason are answered elsewhere, and one answer
 // clears a call.
 package crash
