lentilferryd: Register for signals before serving

Cause: the registration for signals ran in a goroutine that was started after all sockets listened. Until then each signal ends a process.

Change: the process registers before it opens a socket; signals that come early are handled once the node runs.

--- a/lentilferryd/main.go
+++ b/lentilferryd/main.go
@@ -74,11 +74,12 @@
 		fmt.Print(s)
 		return _exitOK
 	}
+	received := notifySignals()
 	writer, flush := startLogs(s.Verbosity)
 	defer flush()
 	debug.SetGCPercent(s.GCPercent)
 	debug.SetMemoryLimit(int64(_softMemoryFraction * float64(s.MemoryLimit)))
-	if err := serve(s, writer); err != nil {
+	if err := serve(s, writer, received); err != nil {
 		klog.ErrorS(err, "Stopped")
 		fmt.Fprintln(os.Stderr, "lentilferryd:", err)
 		return _exitFailed
@@ -118,7 +119,7 @@
 }
 
 // serve runs the node until it has stopped.
-func serve(s settings.Settings, writer *logs.Writer) error {
+func serve(s settings.Settings, writer *logs.Writer, received signals) error {
 	ctx := context.Background()
 	listeners, err := listen(ctx, s)
 	if err != nil {
@@ -149,7 +150,7 @@
 	n := node.New(d)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go handleSignals(n, cancel)
+	go received.handle(n, cancel)
 	klog.InfoS("Listening", "node", s.ID, "version", common.Version, "calls", s.CallAddress, "peers", s.PeerAddress, "admin", s.AdminAddress)
 	err = n.Run(ctx)
 	klog.InfoS("Stopped", "node", s.ID)
@@ -191,19 +192,27 @@
 	return nil
 }
 
-// handleSignals begins a planned stop on the first SIGTERM or SIGINT and stops
-// the node immediately on the second. SIGHUP reloads the settings.
-func handleSignals(n *node.Node, cancel context.CancelFunc) {
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
-	stops := make(chan os.Signal, 1)
-	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+// signals delivers the signals that the process handles.
+type signals struct{ reloads, stops chan os.Signal }
+
+// notifySignals registers for signals. Before that, each of them ends the
+// process, so it must not have begun to serve.
+func notifySignals() signals {
+	s := signals{reloads: make(chan os.Signal, 1), stops: make(chan os.Signal, 1)}
+	signal.Notify(s.reloads, syscall.SIGHUP)
+	signal.Notify(s.stops, syscall.SIGTERM, syscall.SIGINT)
+	return s
+}
+
+// handle begins a planned stop on the first SIGTERM or SIGINT and stops the node
+// immediately on the second. SIGHUP reloads the settings.
+func (s signals) handle(n *node.Node, cancel context.CancelFunc) {
 	stopping := false
 	for {
 		select {
-		case <-reloads:
+		case <-s.reloads:
 			reload()
-		case <-stops:
+		case <-s.stops:
 			if stopping {
 				klog.InfoS("Stopping immediately", "cause", "a second signal")
 				cancel()
