call: Test that an endless body ends as unknown at the deadline

Trace: forty processes of the test at once, with the race detector, print '504 unknown: deadline' for 117 of 120 calls. A response of up to 256 KB is held back until it is whole, and on a busy machine the deadline of 0.3 s passes before the endless one has sent more. Then the caller gets a whole answer that says the outcome is unknown, which is true and allowed; the test was written before responses were held and knew only the other case, a response that has begun.

The test still requires that an endless body never looks complete: either the response has begun and breaks off, or it is a 504 whose outcome is unknown. It passes 90 of 90 times in thirty processes at once.

--- a/call/endless_test.go
+++ b/call/endless_test.go
@@ -84,7 +84,13 @@
 				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 				assert.NilError(t, err)
 				_, err = io.Copy(io.Discard, response.Body)
-				assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+				if response.StatusCode == http.StatusGatewayTimeout {
+					// The deadline passed while the node still held the response back.
+					assert.NilError(t, err)
+					assert.Equal(t, response.Header.Get(call.HeaderOutcome), call.Unknown.String())
+				} else {
+					assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+				}
 			} else {
 				for written.Load() == 0 {
 					time.Sleep(time.Millisecond)
