--- a/call/owner.go
+++ b/call/owner.go
@@ -40,13 +40,6 @@
 	IsLeaving(id upstream.ID) bool
 }
 
-// ProcessProbe tells whether processes of the upstream have ended.
-type ProcessProbe interface {
-	// HasEnded reports whether the process with the given number, as counted by
-	// connections to the address, has ended.
-	HasEnded(ctx context.Context, address string, process uint64) bool
-}
-
 // OwnerDependencies holds what NewOwner needs.
 type OwnerDependencies struct {
 	// Self returns this node's member record.
@@ -361,22 +354,6 @@
 	return result
 }
 
-// _probeTimeout bounds the check whether the upstream's process has ended, which
-// is a connection on the same VM.
-const _probeTimeout = 200 * time.Millisecond
-
-// upstreamEnded reports whether the upstream process with the given number has
-// ended without having said that it leaves.
-func (c *ownerCall) upstreamEnded(ctx context.Context, process uint64) bool {
-	o := c.owner
-	if o.deps.Probe == nil || o.deps.Process != nil && o.deps.Process.IsLeaving(c.process) {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), _probeTimeout)
-	defer cancel()
-	return o.deps.Probe.HasEnded(ctx, o.upstream, process)
-}
-
 // classifyResponse returns the result according to a response's headers.
 func (c *ownerCall) classifyResponse(response *http.Response) Result {
 	o := c.owner
--- a/call/owner_crash.go
+++ b/call/owner_crash.go
@@ -3,10 +3,34 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	"lentilferry.example/lentilferry/crash"
 )
 
+// ProcessProbe tells whether processes of the upstream have ended.
+type ProcessProbe interface {
+	// HasEnded reports whether the process with the given number, as counted by
+	// connections to the address, has ended.
+	HasEnded(ctx context.Context, address string, process uint64) bool
+}
+
+// _probeTimeout bounds the check whether the upstream's process has ended, which
+// is a connection on the same VM.
+const _probeTimeout = 200 * time.Millisecond
+
+// upstreamEnded reports whether the upstream process with the given number has
+// ended without having said that it leaves.
+func (c *ownerCall) upstreamEnded(ctx context.Context, process uint64) bool {
+	o := c.owner
+	if o.deps.Probe == nil || o.deps.Process != nil && o.deps.Process.IsLeaving(c.process) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), _probeTimeout)
+	defer cancel()
+	return o.deps.Probe.HasEnded(ctx, o.upstream, process)
+}
+
 // checkCrashes returns Answered if the call may be sent to the upstream. It
 // refuses one that has crashed upstreams since the ingress forwarded it, or that
 // comes from an ingress which doesn't know of that yet.
