soak: Record each answer under the ID that was sent

Cause: the repeats of a call that crashes upstreams shared one variable. While a node was paused, the answer of an earlier repeat, a true 503, was recorded under the ID that the variable held by then; the ID that was sent could be a later one too.

Change: each repeat is a value of its own. The checks are as before.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -87,10 +87,11 @@
 	var waiting sync.WaitGroup
 	for ctx.Err() == nil {
 		v := c.fleet.vms[rnd.IntN(len(c.fleet.vms))]
-		call.ID = fmt.Sprintf("c%08d", c.callCount.Add(1))
-		c.checker.recordSend(call, idempotent, v.id)
+		repeat := call
+		repeat.ID = fmt.Sprintf("c%08d", c.callCount.Add(1))
+		c.checker.recordSend(repeat, idempotent, v.id)
 		waiting.Go(func() {
-			c.checker.recordResponse(call.ID, fakehost.Send(context.Background(), client, v.callAddress, call))
+			c.checker.recordResponse(repeat.ID, fakehost.Send(context.Background(), client, v.callAddress, repeat))
 		})
 		time.Sleep(time.Duration(rnd.ExpFloat64() * float64(_meanCrashingInterval)))
 	}
