review: Show that a slow body reaches a backend that has left

A request with a slow body has got its slot when the backend beside the node says that it leaves. It reaches the backend 2.8 s after the confirmation, is run, and is lost when the backend exits (DRAIN).

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -12,6 +12,7 @@
 	cases := map[string]func(*run) int{
 		"forgotten-departure": forgottenDeparture,
 		"abandoned-calls":     abandonedCalls,
+		"slow-uploads":        slowUploads,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: harness CASE RECORD")
