--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+cd "$(dirname "$0")" && exec ../case.sh abandoned-calls "$PWD"
