--- a/review/harness/upload.go
+++ b/review/harness/upload.go
@@ -49,21 +49,21 @@
 	r.recordLocked("answer %s status %d sealed %v %s", attempt, status, sealed, text)
 }
 
-// slowUploads checks DRAIN: requesters send bodies within 3 s, and meanwhile a
-// backend leaves.
+// slowUploads checks DRAIN: requesters take 2.7 s to send their bodies, and
+// meanwhile a backend leaves.
 func slowUploads(r *run) int {
 	const (
 		host     = "payslips.example"
-		takes    = 3 * time.Second
-		deadline = 4 * time.Second
+		takes    = 2720 * time.Millisecond
+		deadline = 3 * time.Second
 		// rounds is how many backends leave, and perNode how many bodies are being
 		// sent at each node when one does.
 		rounds  = 2
 		perNode = 3
 		// stays is for how long a backend serves after its confirmation.
-		stays = drainBound + 400*time.Millisecond
+		stays = drainBound + 250*time.Millisecond
 	)
-	r.configure(7, []string{"archive-desk"}, host, route("r-print", "/print/", "non_idempotent", "archive-desk", "4000ms", 1))
+	r.configure(7, []string{"archive-desk"}, host, route("r-print", "/print/", "non_idempotent", "archive-desk", "3000ms", 1))
 	for i := range 6 {
 		zone := []string{"puget-a", "willamette-a", "inland-a"}[i%3]
 		n := r.addNode(fmt.Sprintf("sidecar-%s-%d", zone, i/3+1), []string{"puget", "willamette", "inland"}[i%3], zone, "archive-desk")
@@ -88,11 +88,11 @@
 	for i := range rounds {
 		for _, n := range r.nodes {
 			for range perNode {
-				took := takes - time.Duration(rand.Int64N(int64(150*time.Millisecond)))
+				took := takes - time.Duration(rand.Int64N(int64(60*time.Millisecond)))
 				uploads.Go(func() { r.sendSlowly(n, host, "/print/2", took, deadline) })
 			}
 		}
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(50 * time.Millisecond)
 		if leaver := r.backends[i]; r.trouble {
 			confirmed[leaver] = leaver.drain()
 			time.Sleep(stays)
