departure, node: Keep confirmed departures in the platform's store

An upstream deregisters, which its node confirms; then all nodes are killed and start again, and a heartbeat of before arrives late.

Cause: a confirmation is a promise without an end, and was held only in nodes' memory: the node's registry and its record at other members. It was also given when no other member had taken note of it within 0.2 s.

Change: package departure keeps the departures from each VM in an object of its own. A departure is confirmed once the store has it, through another node if the store turns this one away; until then the announcement is answered with 503, and the upstream gets no calls either way. A node that starts reads its departures before its upstream counts as ready. If neither the store nor another node can be asked, it serves 1.5 s after its configuration came: a zone that is cut off goes on. After a restore of the store the departures are written again. An hour after a node was last a member its object is deleted.

TestHostedStoreCallLimit counts the reads of departures apart, one for each node at its start; its bound for all other calls stays as it was.

--- a/gen/lentilferry/v1/lentilferryv1connect/peer.connect.go
+++ b/gen/lentilferry/v1/lentilferryv1connect/peer.connect.go
@@ -47,6 +47,12 @@
 	PeerServiceZoneAppliedProcedure = "/lentilferry.v1.PeerService/ZoneApplied"
 	// PeerServiceCollectProcedure is the fully-qualified name of the PeerService's Collect RPC.
 	PeerServiceCollectProcedure = "/lentilferry.v1.PeerService/Collect"
+	// PeerServiceRecordDeparturesProcedure is the fully-qualified name of the PeerService's
+	// RecordDepartures RPC.
+	PeerServiceRecordDeparturesProcedure = "/lentilferry.v1.PeerService/RecordDepartures"
+	// PeerServiceListDeparturesProcedure is the fully-qualified name of the PeerService's
+	// ListDepartures RPC.
+	PeerServiceListDeparturesProcedure = "/lentilferry.v1.PeerService/ListDepartures"
 )
 
 // PeerServiceClient is a client for the lentilferry.v1.PeerService service.
@@ -68,6 +74,12 @@
 	ZoneApplied(context.Context, *connect.Request[v1.ZoneAppliedRequest]) (*connect.Response[v1.ZoneAppliedResponse], error)
 	// Collect returns a zone's evidence on a rollout.
 	Collect(context.Context, *connect.Request[v1.CollectRequest]) (*connect.Response[v1.CollectResponse], error)
+	// RecordDepartures stores departures of the requesting node's upstream on the
+	// platform, which turns that node away.
+	RecordDepartures(context.Context, *connect.Request[v1.RecordDeparturesRequest]) (*connect.Response[v1.RecordDeparturesResponse], error)
+	// ListDepartures returns the stored departures of the requesting node's
+	// upstream.
+	ListDepartures(context.Context, *connect.Request[v1.ListDeparturesRequest]) (*connect.Response[v1.ListDeparturesResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the lentilferry.v1.PeerService service. By default,
@@ -123,18 +135,32 @@
 			connect.WithSchema(peerServiceMethods.ByName("Collect")),
 			connect.WithClientOptions(opts...),
 		),
+		recordDepartures: connect.NewClient[v1.RecordDeparturesRequest, v1.RecordDeparturesResponse](
+			httpClient,
+			baseURL+PeerServiceRecordDeparturesProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("RecordDepartures")),
+			connect.WithClientOptions(opts...),
+		),
+		listDepartures: connect.NewClient[v1.ListDeparturesRequest, v1.ListDeparturesResponse](
+			httpClient,
+			baseURL+PeerServiceListDeparturesProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("ListDepartures")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
-	exchange    *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
-	probeFor    *connect.Client[v1.ProbeForRequest, v1.ProbeForResponse]
-	pull        *connect.Client[v1.PullRequest, v1.PullResponse]
-	report      *connect.Client[v1.ReportRequest, v1.ReportResponse]
-	tellApplied *connect.Client[v1.TellAppliedRequest, v1.TellAppliedResponse]
-	zoneApplied *connect.Client[v1.ZoneAppliedRequest, v1.ZoneAppliedResponse]
-	collect     *connect.Client[v1.CollectRequest, v1.CollectResponse]
+	exchange         *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
+	probeFor         *connect.Client[v1.ProbeForRequest, v1.ProbeForResponse]
+	pull             *connect.Client[v1.PullRequest, v1.PullResponse]
+	report           *connect.Client[v1.ReportRequest, v1.ReportResponse]
+	tellApplied      *connect.Client[v1.TellAppliedRequest, v1.TellAppliedResponse]
+	zoneApplied      *connect.Client[v1.ZoneAppliedRequest, v1.ZoneAppliedResponse]
+	collect          *connect.Client[v1.CollectRequest, v1.CollectResponse]
+	recordDepartures *connect.Client[v1.RecordDeparturesRequest, v1.RecordDeparturesResponse]
+	listDepartures   *connect.Client[v1.ListDeparturesRequest, v1.ListDeparturesResponse]
 }
 
 // Exchange calls lentilferry.v1.PeerService.Exchange.
@@ -172,6 +198,16 @@
 	return c.collect.CallUnary(ctx, req)
 }
 
+// RecordDepartures calls lentilferry.v1.PeerService.RecordDepartures.
+func (c *peerServiceClient) RecordDepartures(ctx context.Context, req *connect.Request[v1.RecordDeparturesRequest]) (*connect.Response[v1.RecordDeparturesResponse], error) {
+	return c.recordDepartures.CallUnary(ctx, req)
+}
+
+// ListDepartures calls lentilferry.v1.PeerService.ListDepartures.
+func (c *peerServiceClient) ListDepartures(ctx context.Context, req *connect.Request[v1.ListDeparturesRequest]) (*connect.Response[v1.ListDeparturesResponse], error) {
+	return c.listDepartures.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the lentilferry.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Exchange probes a node and exchanges state with it: members, orders,
@@ -191,6 +227,12 @@
 	ZoneApplied(context.Context, *connect.Request[v1.ZoneAppliedRequest]) (*connect.Response[v1.ZoneAppliedResponse], error)
 	// Collect returns a zone's evidence on a rollout.
 	Collect(context.Context, *connect.Request[v1.CollectRequest]) (*connect.Response[v1.CollectResponse], error)
+	// RecordDepartures stores departures of the requesting node's upstream on the
+	// platform, which turns that node away.
+	RecordDepartures(context.Context, *connect.Request[v1.RecordDeparturesRequest]) (*connect.Response[v1.RecordDeparturesResponse], error)
+	// ListDepartures returns the stored departures of the requesting node's
+	// upstream.
+	ListDepartures(context.Context, *connect.Request[v1.ListDeparturesRequest]) (*connect.Response[v1.ListDeparturesResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -242,6 +284,18 @@
 		connect.WithSchema(peerServiceMethods.ByName("Collect")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceRecordDeparturesHandler := connect.NewUnaryHandler(
+		PeerServiceRecordDeparturesProcedure,
+		svc.RecordDepartures,
+		connect.WithSchema(peerServiceMethods.ByName("RecordDepartures")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerServiceListDeparturesHandler := connect.NewUnaryHandler(
+		PeerServiceListDeparturesProcedure,
+		svc.ListDepartures,
+		connect.WithSchema(peerServiceMethods.ByName("ListDepartures")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/lentilferry.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceExchangeProcedure:
@@ -258,6 +312,10 @@
 			peerServiceZoneAppliedHandler.ServeHTTP(w, r)
 		case PeerServiceCollectProcedure:
 			peerServiceCollectHandler.ServeHTTP(w, r)
+		case PeerServiceRecordDeparturesProcedure:
+			peerServiceRecordDeparturesHandler.ServeHTTP(w, r)
+		case PeerServiceListDeparturesProcedure:
+			peerServiceListDeparturesHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -294,3 +352,11 @@
 func (UnimplementedPeerServiceHandler) Collect(context.Context, *connect.Request[v1.CollectRequest]) (*connect.Response[v1.CollectResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lentilferry.v1.PeerService.Collect is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) RecordDepartures(context.Context, *connect.Request[v1.RecordDeparturesRequest]) (*connect.Response[v1.RecordDeparturesResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lentilferry.v1.PeerService.RecordDepartures is not implemented"))
+}
+
+func (UnimplementedPeerServiceHandler) ListDepartures(context.Context, *connect.Request[v1.ListDeparturesRequest]) (*connect.Response[v1.ListDeparturesResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lentilferry.v1.PeerService.ListDepartures is not implemented"))
+}
--- a/internal/fakes/fakestore/fakestore.go
+++ b/internal/fakes/fakestore/fakestore.go
@@ -105,12 +105,14 @@
 	// serializableCalls counts the serializable reads, which are cheaper, and
 	// fullCalls all other calls, which cost the full price.
 	fullCalls, serializableCalls int
-	lateWrites                   sync.WaitGroup
+	// fullCallsByKind is fullCalls by the kind of the objects.
+	fullCallsByKind map[string]int
+	lateWrites      sync.WaitGroup
 }
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{Copy: Copy{objects: make(map[string]map[string]Object), rev: 1, era: 1}, changed: make(chan struct{})}
+	return &Store{Copy: Copy{objects: make(map[string]map[string]Object), rev: 1, era: 1}, changed: make(chan struct{}), fullCallsByKind: make(map[string]int)}
 }
 
 // SetFaults replaces the faults.
@@ -129,6 +131,13 @@
 	return s.fullCalls, s.serializableCalls
 }
 
+// FullCallsOf returns the number of calls at the full price for a kind.
+func (s *Store) FullCallsOf(kind string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fullCallsByKind[kind]
+}
+
 // CompactHistory removes the whole history, so that watches from an older
 // revision fail with status 410.
 func (s *Store) CompactHistory() {
@@ -206,11 +215,13 @@
 
 // ServeHTTP serves one call of the store's API, subject to the faults.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	parts := strings.Split(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
 	s.mu.Lock()
 	if isSerializable(r) {
 		s.serializableCalls++
 	} else {
 		s.fullCalls++
+		s.fullCallsByKind[parts[0]]++
 	}
 	f := s.faults
 	setEra(w, s.era)
@@ -230,7 +241,6 @@
 	case f.Reset:
 		panic(http.ErrAbortHandler)
 	}
-	parts := strings.Split(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
 	switch {
 	case r.Method == http.MethodGet && len(parts) == 1 && r.URL.Query().Has("watch"):
 		s.watch(w, r, parts[0])
@@ -345,7 +355,7 @@
 	return events, 0
 }
 
-// write decodes a create or update, applies it and writes the response, subject
+// write decodes a create, update or delete, applies it and writes the response, subject
 // to the faults.
 func (s *Store) write(w http.ResponseWriter, r *http.Request, parts []string, body []byte) {
 	var sent Object
@@ -379,8 +389,8 @@
 	writeJSON(w, status, o)
 }
 
-// apply creates or updates an object, or only its status if parts has three
-// elements, and returns the HTTP status, the object and the store's era.
+// apply creates, updates or deletes an object, or updates only its status if
+// parts has three elements, and returns the HTTP status, the object and the store's era.
 func (s *Store) apply(method string, parts []string, sent Object) (int, Object, uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -389,10 +399,17 @@
 	switch {
 	case method == http.MethodPost && exists:
 		return http.StatusConflict, old, s.era
-	case method == http.MethodPut && !exists:
+	case method != http.MethodPost && !exists:
 		return http.StatusNotFound, Object{}, s.era
-	case method == http.MethodPut && sent.Metadata.Rev != 0 && sent.Metadata.Rev != old.Metadata.Rev:
+	case method != http.MethodPost && sent.Metadata.Rev != 0 && sent.Metadata.Rev != old.Metadata.Rev:
 		return http.StatusConflict, old, s.era
+	case method == http.MethodDelete:
+		delete(s.objects[kind], sent.Metadata.Name)
+		s.rev++
+		old.Metadata.Rev = s.rev
+		s.history = append(s.history, event{kind: kind, Object: old, Deleted: true, changedAt: time.Now()})
+		s.notifyWatchers()
+		return http.StatusOK, old, s.era
 	case len(parts) == 3:
 		old.Status = sent.Status
 		return http.StatusOK, s.commit(kind, old), s.era
--- a/node/announced.go
+++ b/node/announced.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"time"
 
 	"lentilferry.example/lentilferry/admission"
@@ -11,7 +10,8 @@
 )
 
 // HandleAnnouncement handles an announcement of the upstream on this VM. Once it
-// returns, an upstream that is leaving gets no new calls.
+// returns, an upstream that is leaving gets no new calls. It returns
+// upstream.Unrecorded if that could not be recorded in time.
 func (n *Node) HandleAnnouncement(now time.Time, a upstream.Announcement) upstream.Result {
 	before, _ := n.upstreamRegistry.Current(now)
 	result := n.upstreamRegistry.HandleAnnouncement(now, a)
@@ -20,64 +20,23 @@
 			"version", a.Version, "slots", a.Slots, "leaving", a.Leaving, "coldFor", a.ColdFor)
 	}
 	n.syncUpstreamState(now)
-	if a.Leaving {
-		n.replicateDeparture()
+	if a.Leaving && result != upstream.Foreign && !n.confirmDeparture(upstream.Instance{ID: a.ID, Incarnation: a.Incarnation}) {
+		return upstream.Unrecorded
 	}
 	return result
 }
 
 // HandleDeparture handles a notice that the given process of the upstream on
-// this VM is ending. Once it returns, that process gets no new calls.
+// this VM is ending. Once it returns, that process gets no new calls. It returns
+// upstream.Unrecorded if that could not be recorded in time.
 func (n *Node) HandleDeparture(now time.Time, id upstream.ID) upstream.Result {
 	result := n.upstreamRegistry.HandleDeparture(id)
 	n.deps.Logger.Info("Upstream departure received", "process", id, "result", result.String())
 	n.syncUpstreamState(now)
-	n.replicateDeparture()
-	return result
-}
-
-const (
-	// _departureReplicas is how many members are asked to remember a departure.
-	// _departureReplicaTimeout bounds the wait for the first of them to accept
-	// it: an upstream waits one second for the confirmation.
-	_departureReplicas       = 3
-	_departureReplicaTimeout = 200 * time.Millisecond
-)
-
-// replicateDeparture sends this node's record to other members before a
-// departure is confirmed, and returns when one has accepted it or after
-// _departureReplicaTimeout. The confirmation must still hold after a restart of
-// the node, and nothing on the VM survives one.
-func (n *Node) replicateDeparture() {
-	self := n.members.Self()
-	members := n.members.BroadcastTargets(membership.ScopeOwnZone)
-	if len(members) == 0 {
-		members = n.members.BroadcastTargets(membership.ScopeAllZones)
-	}
-	if self.LastDeparture.Process == "" || n.replicatedSequence.Load() == self.Sequence || len(members) == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), _departureReplicaTimeout)
-	defer cancel()
-	results := make(chan error, _departureReplicas)
-	members = members[:min(_departureReplicas, len(members))]
-	for _, m := range members {
-		go func() { results <- n.gossip.Push(ctx, m, []membership.Member{self}) }()
-	}
-	var err error
-	for range members {
-		if err = <-results; err == nil {
-			n.replicatedSequence.Store(self.Sequence)
-			return
-		}
+	if !n.confirmDeparture(n.upstreamRegistry.InstanceOf(id)) {
+		return upstream.Unrecorded
 	}
-	n.deps.Logger.Info("Departure not replicated, lost if this node restarts before gossip spreads it", "departed", self.LastDeparture.Process, "cause", err.Error())
-}
-
-// mayLearnDeparture reports whether other members may still tell this node of a
-// departure that an earlier process of this node confirmed.
-func (n *Node) mayLearnDeparture() bool {
-	return !n.joined.Load() && n.isStartingUp()
+	return result
 }
 
 // syncUpstreamState updates the admission gate and this node's membership
@@ -87,7 +46,7 @@
 	defer n.upstreamMu.Unlock()
 	// Checked before the departure is read, which first contact may deliver at
 	// any time.
-	mayLearnDeparture := n.mayLearnDeparture()
+	mayLearnDeparture := n.mayLearnDeparture(now)
 	if d := n.members.Self().LastDeparture; d.Process != "" {
 		n.upstreamRegistry.RestoreDeparture(upstream.Instance{ID: upstream.ID(d.Process), Incarnation: d.Incarnation})
 	}
@@ -95,7 +54,7 @@
 	n.recorder.SetVersion(current.Version)
 	reason, allowed := n.mayServe(current.Version)
 	if mayLearnDeparture {
-		reason, allowed = "no other node was heard yet", false
+		reason, allowed = "its recorded departures are not known yet", false
 		state = upstream.Absent
 	}
 	lastDeparted := n.upstreamRegistry.LastDeparted()
--- a/node/hosted_integration_test.go
+++ b/node/hosted_integration_test.go
@@ -53,6 +53,8 @@
 	// gossipInterval is that of nodes that are started from now on, 0 for a short
 	// one.
 	gossipInterval time.Duration
+	// seeds are the first contacts of nodes that are started from now on.
+	seeds []netip.AddrPort
 }
 
 // hostedNode is a node and its upstream.
@@ -148,6 +150,7 @@
 	n.Node = node.New(node.Dependencies{
 		ID: membership.NodeID(id), Region: "r", Zone: zone, PeerAddress: netip.MustParseAddrPort(l.Peers.Addr().String()),
 		Upstream: node.Upstream{Service: "desk", Address: address, SelfAnnounced: true},
+		Seeds:    c.seeds,
 		Timing:   timing, Membership: membership.DefaultTiming(), Lease: lease.DefaultTiming(),
 		Platform: client, ConfigSource: platform.NewConfigWatcher(client, wire.Codec{}), OrderStore: platform.NewOrderStore(client, klog.Logger{}),
 		Dialect: platform.Headers{}, StoreEra: client.StoreEra, Listeners: l, Logger: klog.Logger{}, Now: time.Now,
@@ -386,8 +389,11 @@
 	}
 	c.callUntil("all serve", c.serving(12))
 	full, stale := c.store.Calls()
-	// A node that has just started uses stale reads, if it reads at all.
-	assert.Assert(t, full <= 15, "%d full-price calls at the start", full)
+	// Each node reads its departures once. Otherwise a node that has just started
+	// uses stale reads, if it reads at all.
+	departures := c.store.FullCallsOf("lentilferry-departure")
+	assert.Assert(t, departures <= 15, "%d reads of departures", departures)
+	assert.Assert(t, full-departures <= 15, "%d other full-price calls at the start", full-departures)
 	for i := range 10 {
 		c.configure(i+2, "")
 		time.Sleep(300 * time.Millisecond)
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -31,6 +31,9 @@
 		runtime.ReadMemStats(&m)
 		return m.HeapAlloc
 	})
+	if n.departures != nil {
+		gauge("departuresUnrecorded", func() uint64 { return uint64(n.departures.PendingCount()) })
+	}
 	if n.deps.StoreEra != nil {
 		gauge("storeEra", func() uint64 {
 			era, _ := n.deps.StoreEra()
--- a/node/node.go
+++ b/node/node.go
@@ -24,6 +24,7 @@
 	"lentilferry.example/lentilferry/config"
 	"lentilferry.example/lentilferry/control"
 	"lentilferry.example/lentilferry/crash"
+	"lentilferry.example/lentilferry/departure"
 	"lentilferry.example/lentilferry/distribution"
 	"lentilferry.example/lentilferry/evidence"
 	"lentilferry.example/lentilferry/identity"
@@ -48,6 +49,7 @@
 	// ListStale lists the objects of a kind from a read that may be some
 	// seconds stale, where that costs the platform less.
 	ListStale(ctx context.Context, kind objectstore.Kind) ([]objectstore.Object, uint64, error)
+	Delete(ctx context.Context, key objectstore.Key, version uint64) objectstore.WriteOutcome
 }
 
 var _ Platform = (*objectstore.HTTPClient)(nil)
@@ -196,6 +198,13 @@
 	lifecycle        *lifecycle.Lifecycle
 	// upstreamRegistry is nil unless the upstream announces itself.
 	upstreamRegistry *upstream.Registry
+	// departures records the departures of the upstream; nil unless the upstream
+	// announces itself.
+	departures *departure.Recorder
+	// departuresLoaded is set once those that earlier processes of this node
+	// recorded are known, and routesSince when the node had its first routes.
+	departuresLoaded atomic.Bool
+	routesSince      atomic.Pointer[time.Time]
 	// upstreamMu serializes syncUpstreamState.
 	upstreamMu sync.Mutex
 	// exclusionReason is why the upstream takes no calls although it could;
@@ -308,6 +317,7 @@
 	}
 	if deps.Upstream.SelfAnnounced {
 		n.upstreamRegistry = upstream.New(deps.Upstream.Service, deps.Upstream.Address)
+		n.departures = departure.NewRecorder(n.departureLog(deps.ID), departureRelay{n}, deps.Logger)
 	}
 	n.members = membership.New(deps.Membership, n.self(now), rand.New(rand.NewPCG(seed, 2)), now)
 	n.replica = distribution.New(wire.Codec{}, n.holder)
@@ -510,6 +520,13 @@
 		})
 	}
 	group.Go(func() error { n.join(ctx); return nil })
+	if n.departures != nil {
+		group.Go(func() error { n.loadDepartures(ctx); return nil })
+		group.Go(func() error { n.departures.Run(ctx); return nil })
+		group.Go(func() error { n.recordDeparturesAgain(ctx); return nil })
+		sweeper := departure.NewSweeper()
+		loop(_departureSweepInterval, func(ctx context.Context) { n.sweepDepartures(ctx, sweeper) })
+	}
 	loop(timing.GossipInterval, n.gossip.ProbeNext)
 	loop(timing.ZoneGossipInterval, n.gossipAcrossZones)
 	loop(timing.HealthCheckInterval, n.checkUpstream)
--- a/node/steps.go
+++ b/node/steps.go
@@ -102,6 +102,7 @@
 		return
 	}
 	if n.members.Self().Revision != current.Manifest.Number || n.routes.Load() == nil {
+		n.routesSince.CompareAndSwap(nil, &now)
 		n.rndMu.Lock()
 		n.routes.Store(routing.NewTable(current.Config, n.routes.Load(), n.rnd))
 		n.rndMu.Unlock()
--- a/objectstore/objectstore.go
+++ b/objectstore/objectstore.go
@@ -22,6 +22,9 @@
 	// KindRoster holds the addresses of nodes that a starting node contacts
 	// first, one object for each zone.
 	KindRoster Kind = "roster"
+	// KindDeparture holds the confirmed departures of upstreams, one object for
+	// each node.
+	KindDeparture Kind = "departure"
 )
 
 // MaxValueBytes is the maximum size of an object's value, in bytes.
--- a/peer/server.go
+++ b/peer/server.go
@@ -19,13 +19,15 @@
 	gossip    *Gossip
 	collector *evidence.Collector
 	applied   *membership.AppliedRevisions
+	// departures stores departures for nodes that the platform turns away.
+	departures DepartureLogs
 }
 
 var _ lentilferryv1connect.PeerServiceHandler = (*Server)(nil)
 
 // NewServer returns a Server.
-func NewServer(gossip *Gossip, collector *evidence.Collector, applied *membership.AppliedRevisions) *Server {
-	return &Server{gossip: gossip, collector: collector, applied: applied}
+func NewServer(gossip *Gossip, collector *evidence.Collector, applied *membership.AppliedRevisions, departures DepartureLogs) *Server {
+	return &Server{gossip: gossip, collector: collector, applied: applied, departures: departures}
 }
 
 // Exchange exchanges state with the requesting node. It is also how that node
--- a/upstream/registry.go
+++ b/upstream/registry.go
@@ -3,6 +3,7 @@
 package upstream
 
 import (
+	"cmp"
 	"net/netip"
 	"sync"
 	"time"
@@ -43,6 +44,10 @@
 	Stale
 	// Foreign means that it is not from the upstream of this VM.
 	Foreign
+	// Unrecorded means that the upstream gets no more calls but that its departure
+	// could not be recorded, so that it may be forgotten with the node's process.
+	// Registry never returns it.
+	Unrecorded
 )
 
 // String returns the name of the result, as it appears in logs.
@@ -54,6 +59,8 @@
 		return "stale"
 	case Foreign:
 		return "foreign"
+	case Unrecorded:
+		return "unrecorded"
 	default:
 		return "invalid"
 	}
@@ -108,6 +115,11 @@
 	Incarnation uint64
 }
 
+// Compare orders instances by incarnation and then by ID.
+func (i Instance) Compare(other Instance) int {
+	return cmp.Or(cmp.Compare(i.Incarnation, other.Incarnation), cmp.Compare(i.ID, other.ID))
+}
+
 // Registry holds the state of the upstream on a node's VM. It is safe for
 // concurrent use.
 type Registry struct {
@@ -194,12 +206,30 @@
 	return Accepted
 }
 
+// InstanceOf returns the instance with the given ID. Its incarnation is 0 unless
+// it is the current upstream.
+func (r *Registry) InstanceOf(id ID) Instance {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Instance{ID: id, Incarnation: r.incarnationOf(id)}
+}
+
 // RestoreDeparture marks an instance as departed whose departure an earlier
-// process of the node confirmed.
+// process of the node confirmed. If its incarnation is 0, that process did not
+// know it; see HandleDeparture.
 func (r *Registry) RestoreDeparture(instance Instance) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.markDeparted(instance)
+	if instance.Incarnation != 0 {
+		return
+	}
+	if len(r.departedUnannounced) < _maxDeparted {
+		r.departedUnannounced[instance.ID] = true
+	}
+	if r.current.ID == instance.ID && r.current.Sequence > 1 {
+		r.markDeparted(Instance{ID: r.current.ID, Incarnation: r.current.Incarnation})
+	}
 }
 
 // LastDeparted returns the departed instance with the highest incarnation; the
