call: Read bodies ahead so that calls of gone callers are given up

Cause: a server of net/http watches an HTTP/1 connection for its end only once the request was read to its end. The owner waited for a slot before anything read the body: on the connection from the ingress, and for callers of its own node on theirs. An HTTP/2 caller was noticed at the ingress, not at the owner behind it.

Change: ingress and owner read bodies of up to 64 KB as soon as the call has come. A longer body is read by its attempt; when it ends, the connection is looked at once more before the last bytes go on. Kept bodies share a budget, a quarter of the memory limit; one that finds no room is streamed. Requests that expect a response first or announce trailers are not read ahead: the server sets trailers while they are forwarded.

The tests of call and node pass with the race detector.

--- a/call/body.go
+++ b/call/body.go
@@ -21,12 +21,23 @@
 	errWriteResponse     = errors.New("response could not be written")
 	errBodyNotReplayable = errors.New("request body is too long to be replayed")
 	errBodyClosed        = errors.New("request body was closed by its attempt")
+	errCallerLeft        = errors.New("caller left before its request was sent")
 )
 
 // replayBody lets consecutive attempts read the same request body. It buffers
 // what was read from the source, up to _maxReplayBytes.
 type replayBody struct {
 	source io.Reader
+	// budget bounds the buffered bytes of all bodies; nil for no bound.
+	budget *BufferBudget
+	// request is the request that the body belongs to, and cancel ends its call.
+	// They are nil where nobody notices that the caller leaves.
+	request *http.Request
+	cancel  context.CancelFunc
+	// readAheadOnce starts readAhead and sets readAheadDone, which is closed once
+	// that has ended.
+	readAheadOnce sync.Once
+	readAheadDone chan struct{}
 	// sourceMu is held while the source is read, which blocks for as long as
 	// the caller sends nothing. It is locked before mu.
 	sourceMu sync.Mutex
@@ -34,9 +45,11 @@
 	mu sync.Mutex
 	// sourceBytes is the number of bytes read from the source.
 	sourceBytes int
-	// buffered holds all bytes read from the source; nil once dropped is set.
+	// buffered holds all bytes read from the source; nil once dropped is set. The
+	// budget counts them.
 	buffered []byte
-	// dropped is set when more than _maxReplayBytes were read.
+	// dropped is set when more than _maxReplayBytes were read, when the budget had
+	// no room for them and at the end of the call.
 	dropped bool
 	// sourceErr is the error that ended the source, io.EOF at its regular end.
 	sourceErr error
@@ -92,8 +105,14 @@
 	if n, err, done := a.readBuffered(p); done {
 		return n, err
 	}
-	n, err := b.source.Read(p)
-	return a.recordRead(p[:n], err)
+	n, err := b.readSource(p, 0)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if a.closed {
+		return 0, errBodyClosed
+	}
+	a.offset += n
+	return n, err
 }
 
 // readBuffered reads without the source. done is false when the source has to
@@ -118,27 +137,52 @@
 	}
 }
 
-// recordRead buffers bytes that were read from the source. It does so also when
-// the attempt was closed meanwhile, since the next attempt needs them.
-func (a *attemptBody) recordRead(p []byte, err error) (int, error) {
-	b := a.body
+// readSource reads from the source and buffers what it has read, also for
+// attempts to come. reserved is how many bytes of the budget are reserved for
+// that; it is 0 or len(p). The caller holds b.sourceMu.
+func (b *replayBody) readSource(p []byte, reserved int) (int, error) {
+	n, err := b.source.Read(p)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.sourceBytes += len(p)
+	b.keep(p[:n], reserved)
+	if err != nil && errors.Is(err, io.EOF) && b.dropped && b.request != nil && hasLeft(b.request) {
+		// The server has not watched the connection while the body was unread.
+		n, err = 0, errCallerLeft
+		b.cancel()
+	}
 	b.sourceErr = err
+	return n, err
+}
+
+// keep buffers bytes that were read from the source. reserved is as for
+// readSource. The caller holds b.mu.
+func (b *replayBody) keep(p []byte, reserved int) {
+	b.sourceBytes += len(p)
 	switch {
-	case b.dropped:
-	case b.sourceBytes > _maxReplayBytes:
-		b.dropped = true
-		b.buffered = nil
-	default:
+	case b.dropped || b.sourceBytes > _maxReplayBytes:
+		b.budget.release(reserved)
+		b.drop()
+	case reserved > 0:
+		b.budget.release(reserved - len(p))
 		b.buffered = append(b.buffered, p...)
+	case b.budget.reserve(len(p)):
+		b.buffered = append(b.buffered, p...)
+	default:
+		b.drop()
 	}
-	if a.closed {
-		return 0, errBodyClosed
-	}
-	a.offset += len(p)
-	return len(p), err
+}
+
+// drop stops buffering. The caller holds b.mu.
+func (b *replayBody) drop() {
+	b.budget.release(len(b.buffered))
+	b.dropped, b.buffered = true, nil
+}
+
+// free releases the buffered bytes at the end of the call.
+func (b *replayBody) free() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.drop()
 }
 
 // Close ends the attempt's use of the body and leaves the source open. It
--- a/call/body_test.go
+++ b/call/body_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"strings"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -64,3 +65,33 @@
 	assert.Equal(t, string(got), "late")
 	assert.Assert(t, errors.Is(<-ended, errBodyClosed))
 }
+
+// Bodies that are read ahead of their attempts reach the attempts whole, also
+// when the budget has no room for them, and leave nothing in the budget.
+func TestBodiesReadAheadReachAttempts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		budget := NewBufferBudget(int64(rapid.IntRange(0, 2*_maxReplayBytes).Draw(t, "budget")))
+		sizes := rapid.SliceOfN(rapid.IntRange(0, 3*_maxReplayBytes/2), 1, 4).Draw(t, "sizes")
+		var reading sync.WaitGroup
+		for _, size := range sizes {
+			reading.Go(func() {
+				text := strings.Repeat("0123456789abcdef", size/16+1)[:size]
+				b := newReplayBody(strings.NewReader(text))
+				b.budget = budget
+				b.startReadAhead()
+				got, err := io.ReadAll(b.newAttempt())
+				assert.Check(t, err)
+				assert.Check(t, string(got) == text)
+				if b.replayable() {
+					got, err = io.ReadAll(b.newAttempt())
+					assert.Check(t, err)
+					assert.Check(t, string(got) == text)
+				}
+				<-b.readAheadDone
+				b.free()
+			})
+		}
+		reading.Wait()
+		assert.Equal(t, budget.Held(), int64(0))
+	})
+}
--- /dev/null
+++ b/call/buffer_budget.go
@@ -0,0 +1,39 @@
+package call
+
+import "sync/atomic"
+
+// BufferBudget bounds the bytes of bodies that a node keeps in memory at the same
+// time. It is safe for concurrent use. A nil budget has no bound.
+type BufferBudget struct {
+	limit int64
+	held  atomic.Int64
+}
+
+// NewBufferBudget returns a budget of the given number of bytes.
+func NewBufferBudget(limit int64) *BufferBudget {
+	return &BufferBudget{limit: limit}
+}
+
+// Held returns the number of bytes that are kept now.
+func (b *BufferBudget) Held() int64 {
+	return b.held.Load()
+}
+
+// reserve counts n more bytes and returns true if there is room for them.
+func (b *BufferBudget) reserve(n int) bool {
+	if b == nil {
+		return true
+	}
+	if b.held.Add(int64(n)) <= b.limit {
+		return true
+	}
+	b.held.Add(-int64(n))
+	return false
+}
+
+// release ends the reservation of n bytes.
+func (b *BufferBudget) release(n int) {
+	if b != nil {
+		b.held.Add(-int64(n))
+	}
+}
--- a/call/cluster_test.go
+++ b/call/cluster_test.go
@@ -144,7 +144,9 @@
 func (cluster *testCluster) startIngress(t testing.TB) {
 	t.Helper()
 	cluster.ingress = call.NewIngress(cluster.ingressDependencies)
-	server := httptest.NewServer(cluster.ingress)
+	server := httptest.NewUnstartedServer(cluster.ingress)
+	server.Config.ConnContext = call.ConnContext
+	server.Start()
 	t.Cleanup(server.Close)
 	cluster.url = server.URL
 }
@@ -193,6 +195,7 @@
 			o.accepted.Add(1)
 		}
 	}
+	server.Config.ConnContext = call.ConnContext
 	server.Start()
 	t.Cleanup(server.Close)
 	o.member.PeerAddress = netip.MustParseAddrPort(server.Listener.Addr().String())
--- a/call/content.go
+++ b/call/content.go
@@ -48,24 +48,18 @@
 	return b.buffered, complete && !b.dropped
 }
 
-// prefetch reads a body that is short enough to be buffered, for up to
-// _prefetchTimeout. What it has read, attempts read from the buffer.
+// prefetch waits for up to _prefetchTimeout until a body that is short enough to
+// be buffered was read. What was read, attempts read from the buffer. An error is
+// kept for the attempts, which then return it too.
 func (b *replayBody) prefetch(ctx context.Context, length int64) {
 	if length == 0 || length > _maxReplayBytes {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, _prefetchTimeout)
 	defer cancel()
-	attempt := b.newAttempt()
-	defer func() { _ = attempt.Close() }()
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		// An error is kept for the attempts, which then return it too.
-		_, _ = io.CopyN(io.Discard, attempt, _maxReplayBytes)
-	}()
+	b.startReadAhead()
 	select {
-	case <-done:
+	case <-b.readAheadDone:
 	case <-ctx.Done():
 	}
 }
--- a/call/ingress.go
+++ b/call/ingress.go
@@ -67,6 +67,8 @@
 	Crashes *crash.Table
 	// CrashesChanged is called after a change of Crashes that other nodes need.
 	CrashesChanged func()
+	// Buffers bounds the bodies that are kept in memory; nil for no bound.
+	Buffers *BufferBudget
 	// ShareSlotsFairly shares the slots of an upstream fairly among the IP
 	// addresses of the callers.
 	ShareSlotsFairly bool
@@ -141,7 +143,13 @@
 	if a.maxBodyBytes > 0 && r.ContentLength < 0 {
 		r.Body = newLimitedBody(r.Body, a.maxBodyBytes)
 	}
+	if r.ContentLength != 0 {
+		// The server adds trailers to its own request when the body ends.
+		r = r.WithContext(ctx)
+	}
 	c := i.newCall(now, w, r, a)
+	c.body = newRequestBody(r, i.deps.Buffers, cancel)
+	defer c.body.free()
 	setReadDeadline(w, r, c.deadline)
 	defer endReadsWith(ctx, w, r, c.body)()
 	if needsFullDuplex(r) {
@@ -152,7 +160,7 @@
 	c.serve(ctx)
 }
 
-// newCall returns the state of an accepted call. A call without a usable ID
+// newCall returns the state of an accepted call, without its body. A call without a usable ID
 // gets a random one; a space or tab in the ID would break the value of
 // headerCall.
 func (i *Ingress) newCall(now time.Time, w http.ResponseWriter, r *http.Request, a acceptedCall) *ingressCall {
@@ -172,7 +180,6 @@
 		receivedAt:      now,
 		deadline:        now.Add(a.remaining),
 		depth:           a.depth,
-		body:            newReplayBody(r.Body),
 		versions:        [2]config.VersionSet{first, second},
 		waited:          a.waited,
 		callerRemaining: a.callerRemaining,
--- a/call/ingress_call.go
+++ b/call/ingress_call.go
@@ -206,7 +206,7 @@
 	out.Header[HeaderDepth] = []string{strconv.Itoa(c.depth + 1)}
 	remaining := c.deadline.Sub(deps.Now())
 	if deps.LocalOwner != nil && endpoint.Instance == deps.Self().Instance() {
-		response, result := deps.LocalOwner.handle(ctx, out, forwarded, remaining)
+		response, result := deps.LocalOwner.handle(ctx, out, c.body, forwarded, remaining)
 		c.updateEndpoint(endpoint, response, result)
 		return response, result
 	}
--- a/call/owner.go
+++ b/call/owner.go
@@ -62,7 +62,9 @@
 	// Identities detects duplicates of calls that must not run twice.
 	Identities *identity.Record
 	// Crashes decides on calls that have crashed upstreams.
-	Crashes  *crash.Table
+	Crashes *crash.Table
+	// Buffers bounds the bodies that are kept in memory; nil for no bound.
+	Buffers  *BufferBudget
 	Observer Observer
 	Metrics  *Metrics
 	Logger   klog.Logger
@@ -123,11 +125,19 @@
 	ctx, cancel := context.WithDeadline(r.Context(), now.Add(remaining))
 	defer cancel()
 	setReadDeadline(w, r, now.Add(remaining))
+	var body *replayBody
+	if r.ContentLength != 0 {
+		// The server adds trailers to its own request when the body ends.
+		r = r.WithContext(ctx)
+		body = newRequestBody(r, o.deps.Buffers, cancel)
+		defer body.free()
+		r.Body = body.newAttempt()
+	}
 	if needsFullDuplex(r) {
 		enableFullDuplex(w)
 		defer drainRequest(w, r)
 	}
-	response, result := o.handle(ctx, r, f, remaining)
+	response, result := o.handle(ctx, r, body, f, remaining)
 	if result.Outcome != Answered {
 		o.writeResult(w, result)
 		return
@@ -141,11 +151,11 @@
 	}
 }
 
-// handle sends one call to the upstream. If the outcome is Answered, the
-// response's body must be closed.
-func (o *Owner) handle(ctx context.Context, r *http.Request, f forwardedCall, remaining time.Duration) (*http.Response, Result) {
+// handle sends one call to the upstream. body is what the request's body reads
+// from, nil for a request without one. If the outcome is Answered, the response's body must be closed.
+func (o *Owner) handle(ctx context.Context, r *http.Request, body *replayBody, f forwardedCall, remaining time.Duration) (*http.Response, Result) {
 	now := o.deps.Now()
-	c := &ownerCall{owner: o, request: r, forwarded: f, arrivedAt: now, deadline: now.Add(o.timeLimit.apply(now, remaining))}
+	c := &ownerCall{owner: o, request: r, body: body, forwarded: f, arrivedAt: now, deadline: now.Add(o.timeLimit.apply(now, remaining))}
 	response, result := c.execute(ctx)
 	o.deps.Metrics.count(result)
 	if result.Outcome == Answered {
@@ -165,9 +175,8 @@
 	process upstream.ID
 	// admittedAt is when the call got its slot; zero until then.
 	admittedAt time.Time
-	// body is what is left to send of the request's body once checkCrashes has
-	// read it; nil before.
-	body io.Reader
+	// body is what the request's body reads from; nil for a request without one.
+	body *replayBody
 }
 
 // execute checks the call, waits for a slot and sends the call to the upstream.
@@ -409,7 +418,7 @@
 func (c *ownerCall) newUpstreamRequest(ctx context.Context) *http.Request {
 	o := c.owner
 	// The sender closes its body. drainRequest still has to read the request's.
-	out := newOutgoingRequest(ctx, c.request, o.upstream, io.NopCloser(c.requestBody()), o.deps.Dialect)
+	out := newOutgoingRequest(ctx, c.request, o.upstream, io.NopCloser(c.request.Body), o.deps.Dialect)
 	callDepth, err := parseDepth(c.request.Header)
 	if err != nil {
 		// Unexpected: the depth comes from the forwarding node. Goes on with 0.
--- a/call/owner_crash.go
+++ b/call/owner_crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"lentilferry.example/lentilferry/crash"
@@ -43,10 +42,8 @@
 	if !o.deps.Crashes.Suspects(target) {
 		return Result{Outcome: Answered}
 	}
-	body := newReplayBody(c.request.Body)
-	body.prefetch(ctx, c.request.ContentLength)
-	c.body = body.newAttempt()
-	content, known := contentOf(target, body, c.request.ContentLength)
+	c.body.prefetch(ctx, c.request.ContentLength)
+	content, known := contentOf(target, c.body, c.request.ContentLength)
 	if !known {
 		return Result{Outcome: Answered}
 	}
@@ -61,11 +58,3 @@
 	result.RetryAfter = wait
 	return result
 }
-
-// requestBody returns the body to send to the upstream.
-func (c *ownerCall) requestBody() io.Reader {
-	if c.body != nil {
-		return c.body
-	}
-	return c.request.Body
-}
--- a/lentilferryd/main.go
+++ b/lentilferryd/main.go
@@ -45,6 +45,9 @@
 	// _softMemoryFraction is the fraction of the memory limit from which the
 	// garbage collector runs more often.
 	_softMemoryFraction = 0.75
+	// _bufferFraction is the fraction of the memory limit that the bodies of calls
+	// may take.
+	_bufferFraction = 0.25
 	// _platformDialTimeout bounds connecting to the platform.
 	_platformDialTimeout = time.Second
 	// _platformIdleConns is how many idle connections to the platform are kept:
@@ -140,6 +143,8 @@
 		Logger:          klog.Background().WithValues("node", s.ID),
 		Now:             time.Now,
 		DroppedLogLines: writer.Dropped,
+
+		MaxBufferedBytes: int64(_bufferFraction * float64(s.MemoryLimit)),
 		OperatorHandler: func(n *node.Node) (string, http.Handler) {
 			return operator.New(n, time.Now).Handler()
 		},
--- a/node/caller_conns.go
+++ b/node/caller_conns.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"lentilferry.example/lentilferry/call"
 	"lentilferry.example/lentilferry/common/socket"
 )
 
@@ -52,19 +53,11 @@
 	isHTTP2 bool
 }
 
-type callerConnKey struct{}
-
-// connContext stores an accepted connection in the context of its requests. It
-// is a ConnContext hook of http.Server.
-func connContext(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, callerConnKey{}, conn)
-}
-
 // handler returns a handler that records the connections of HTTP/2 requests
-// before it passes them on. It needs the server's ConnContext hook.
+// before it passes them on. The server needs call.ConnContext as a hook.
 func (c *callerConns) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if conn, ok := r.Context().Value(callerConnKey{}).(net.Conn); ok && r.ProtoMajor > 1 {
+		if conn, ok := call.Conn(r.Context()); ok && r.ProtoMajor > 1 {
 			c.recordHTTP2(conn)
 		}
 		next.ServeHTTP(w, r)
--- a/node/http2_conns_test.go
+++ b/node/http2_conns_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"lentilferry.example/lentilferry/call"
 )
 
 // Answers of a busy node over HTTP/2 are sent after the reads of a stopping node
@@ -28,7 +30,7 @@
 	server.Config.ConnState = func(conn net.Conn, state http.ConnState) {
 		conns.trackState(time.Now(), conn, state)
 	}
-	server.Config.ConnContext = connContext
+	server.Config.ConnContext = call.ConnContext
 	server.Start()
 	defer server.Close()
 	transport := &http.Transport{Protocols: protocols}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -22,6 +22,7 @@
 	gauge("quarantines", func() uint64 { return uint64(len(n.quarantines.All())) })
 	gauge("callsBlocked", func() uint64 { return uint64(n.crashes.BlockedCount(n.deps.Now())) })
 	gauge("blockedCallsRefused", n.crashes.RefusedCount)
+	gauge("bufferedBytes", func() uint64 { return uint64(n.buffers.Held()) })
 	gauge("identitiesKept", func() uint64 { return uint64(n.identities.Len()) })
 	gauge("callersClosedIdle", n.callerConns.ClosedCount)
 	gauge("requestsAtIdleClose", n.callerConns.CrossedCount)
--- a/node/node.go
+++ b/node/node.go
@@ -167,6 +167,9 @@
 	// Retries limits the retries of each service; the zero value selects the
 	// default.
 	Retries retry.Limits
+	// MaxBufferedBytes bounds the bytes of calls' bodies that are kept in memory; 0
+	// selects the default.
+	MaxBufferedBytes int64
 	// DroppedLogLines returns how many log lines have been dropped; nil if
 	// lines are never dropped.
 	DroppedLogLines func() uint64
@@ -211,6 +214,7 @@
 	// empty while it may take them.
 	exclusionReason string
 	gate            *admission.Gate
+	buffers         *call.BufferBudget
 	identities      *identity.Record
 	owner           *call.Owner
 	ingress         *call.Ingress
@@ -266,6 +270,8 @@
 }
 
 const (
+	// _defaultMaxBufferedBytes is the default of Dependencies.MaxBufferedBytes.
+	_defaultMaxBufferedBytes = 32 << 20
 	// _maxIdentities bounds the call identities remembered at once: 2,000
 	// commands a second for the longest timeout.
 	_maxIdentities = 240_000
@@ -290,6 +296,9 @@
 	if deps.Retries == (retry.Limits{}) {
 		deps.Retries = retry.DefaultLimits()
 	}
+	if deps.MaxBufferedBytes == 0 {
+		deps.MaxBufferedBytes = _defaultMaxBufferedBytes
+	}
 	now := deps.Now()
 	seed := uint64(now.UnixNano())
 	n := &Node{
@@ -375,6 +384,7 @@
 	n.transports = append(n.transports, toUpstream, toPeers)
 	n.identities = identity.New(now, config.MaxTimeout, _maxIdentities)
 	n.gate = admission.New(admission.DefaultLimits(slots))
+	n.buffers = call.NewBufferBudget(n.deps.MaxBufferedBytes)
 	n.owner = call.NewOwner(call.OwnerDependencies{
 		Self:      n.members.Self,
 		Upstream:  n.deps.Upstream.Address,
@@ -388,6 +398,7 @@
 		Gate:                n.gate,
 		Identities:          n.identities,
 		Crashes:             n.crashes,
+		Buffers:             n.buffers,
 		Observer:            n.recorder,
 		Metrics:             call.NewMetrics(n.metrics, "owner"),
 		Logger:              n.deps.Logger,
@@ -405,6 +416,7 @@
 		NodeCount:        n.members.MemberCount,
 		Crashes:          n.crashes,
 		CrashesChanged:   n.crashesChanged,
+		Buffers:          n.buffers,
 		ShareSlotsFairly: n.upstreamRegistry == nil,
 		Metrics:          call.NewMetrics(n.metrics, "ingress"),
 		Logger:           n.deps.Logger,
--- a/node/servers.go
+++ b/node/servers.go
@@ -30,12 +30,14 @@
 	newContext := func(net.Listener) context.Context { return callsCtx }
 	calls := n.newServer(n.callerConns.handler(n.ingress))
 	calls.BaseContext = newContext
-	calls.ConnContext = connContext
+	calls.ConnContext = call.ConnContext
 	calls.ConnState = func(conn net.Conn, state http.ConnState) { n.callerConns.trackState(n.deps.Now(), conn, state) }
 	peers := n.newServer(n.peerHandler())
 	peers.ConnState = func(conn net.Conn, state http.ConnState) { n.peerConns.trackState(n.deps.Now(), conn, state) }
 	peers.BaseContext = newContext
-	peers.ConnContext = meter.ConnContext
+	peers.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return call.ConnContext(meter.ConnContext(ctx, conn), conn)
+	}
 	admin := n.newServer(n.adminHandler())
 	const ownSockets = 3
 	all := make([]boundServer, 0, ownSockets+len(n.deps.ExtraServers))
