call: Set the read deadline of a request before its body is read ahead

Seen: in a test only. On a kept connection, each call after one whose response took longer to send than its deadline and a second was refused as not run (503).

Cause: the server of net/http removes the read deadline when a body has ended, and reads on to notice that the caller leaves. Since bodies are read ahead, the ingress could set the deadline after that; when it passed, the server cancelled the context of the connection, and with it those of its next requests.

Evidence: with the deadline set 5 ms later, TestKeptConnectionServesAfterSlowResponse fails in both cases (503, not-run: deadline).

Change: the deadline is set before the body is read.

Measured: the test and those of call pass with the race detector.

--- a/call/ingress.go
+++ b/call/ingress.go
@@ -148,9 +148,11 @@
 		r = r.WithContext(ctx)
 	}
 	c := i.newCall(now, w, r, a)
+	// Set before the body is read: once that has ended, the server reads on to
+	// notice that the caller leaves.
+	setReadDeadline(w, r, c.deadline)
 	c.body = newRequestBody(r, i.deps.Buffers, cancel)
 	defer c.body.free()
-	setReadDeadline(w, r, c.deadline)
 	defer endReadsWith(ctx, w, r, c.body)()
 	if needsFullDuplex(r) {
 		enableFullDuplex(w)
