node, call: Mend a race in a test and a doubled comment line

TestHostedDepartureAtNodeThatTheStoreTurnsAway assigned a variable that the stand-in of the store read meanwhile: the race detector reported it in a run of all tests of node. It now refuses all connections but those of nodes that are known before.

--- a/call/kept_connection_test.go
+++ b/call/kept_connection_test.go
@@ -16,7 +16,6 @@
 	"lentilferry.example/lentilferry/call"
 )
 
-// Guards against kept connections whose next calls are refused after a response
 // Guards against kept connections whose next calls are refused after a response
 // took longer to send than its call's deadline.
 func TestKeptConnectionServesAfterSlowResponse(t *testing.T) {
--- a/node/departures_integration_test.go
+++ b/node/departures_integration_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -115,13 +116,16 @@
 	c.store.SetFaults(fakestore.Faults{RefuseFrom: turnedAway.ownsStoreConn})
 	assert.Equal(t, turnedAway.announce(true), upstream.Accepted)
 	c.killAll()
-	var departed *hostedNode
-	c.store.SetFaults(fakestore.Faults{RefuseFrom: func(remote string) bool { return departed != nil && departed.ownsStoreConn(remote) }})
+	c.store.SetFaults(fakestore.Faults{})
 	c.start("n1", "z", "v1")
 	c.start("n2", "z", "v1")
 	c.callUntil("the others serve", c.serving(2))
 	c.seeds = []netip.AddrPort{c.nodes[0].Members().Self().PeerAddress}
-	departed = c.start("n0", "z", "v1")
+	others := c.nodes
+	c.store.SetFaults(fakestore.Faults{RefuseFrom: func(remote string) bool {
+		return !slices.ContainsFunc(others, func(n *hostedNode) bool { return n.ownsStoreConn(remote) })
+	}})
+	departed := c.start("n0", "z", "v1")
 	c.callAllFor(3 * time.Second)
 	assert.Equal(t, departed.callCount(), 0)
 	departed.incarnation, departed.sequence = 3, 0
