node, dial: Bound what sockets keep of responses that nobody reads

Seen: by hand with real processes. Upstreams answer without end and 300 callers at one node don't read: the sockets of the nodes keep about 0.9 GB, on VMs of 134 MB.

Cause: the kernel lets the send buffer of a connection grow to 4 MB with the connection's speed, and its receive buffer as far as it was read fast before. Nothing bounded them, so that back pressure came megabytes late on each of a call's connections.

The server's write timeout cuts off a caller that doesn't read a short response half a minute after the longest call; until now it kept its connection and handler for ever.

--- a/common/socket/socket.go
+++ b/common/socket/socket.go
@@ -1,5 +1,5 @@
 // Package socket tells what a connection's receive buffer holds without reading
-// from it.
+// from it, and bounds what its send buffer holds.
 package socket
 
 import (
@@ -26,13 +26,9 @@
 // Peek returns the state of a connection's receive buffer. It doesn't wait for
 // a pending read. The error says that the connection is closed or is no socket.
 func Peek(conn net.Conn) (State, error) {
-	socket, ok := conn.(syscall.Conn)
-	if !ok {
-		return 0, errors.Newf("%T is no socket", conn)
-	}
-	raw, err := socket.SyscallConn()
+	raw, err := rawConn(conn)
 	if err != nil {
-		return 0, errors.Wrap(err, "get socket")
+		return 0, err
 	}
 	state := Ended
 	err = raw.Control(func(fd uintptr) {
@@ -47,3 +43,27 @@
 	})
 	return state, errors.Wrap(err, "peek at socket")
 }
+
+// LimitUnsent bounds the bytes that the kernel holds of a connection whose peer
+// doesn't read. One that reads is not slowed down. The error says that the
+// connection is closed, is no socket or can't be bounded.
+func LimitUnsent(conn net.Conn, bytes int) error {
+	raw, err := rawConn(conn)
+	if err != nil {
+		return err
+	}
+	var sockoptErr error
+	err = raw.Control(func(fd uintptr) {
+		sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, bytes)
+	})
+	return errors.Wrap(errors.CombineErrors(err, sockoptErr), "bound unsent bytes")
+}
+
+func rawConn(conn net.Conn) (syscall.RawConn, error) {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.Newf("%T is no socket", conn)
+	}
+	raw, err := socket.SyscallConn()
+	return raw, errors.Wrap(err, "get socket")
+}
--- a/node/node.go
+++ b/node/node.go
@@ -280,6 +280,9 @@
 	_maxIdleUpstreamConns = 64
 	// _readHeaderTimeout bounds reading the headers of a call.
 	_readHeaderTimeout = 10 * time.Second
+	// _writeTimeout bounds a request from its headers until its response was sent.
+	// It lets callers read their responses for half a minute after the longest call.
+	_writeTimeout = config.MaxTimeout + 30*time.Second
 	// _callerIdleTimeout is how long an idle connection of a caller is kept.
 	_callerIdleTimeout = 2 * time.Minute
 	// _maxRequestHeaderBytes bounds the size of a call's headers.
--- a/node/servers.go
+++ b/node/servers.go
@@ -61,6 +61,7 @@
 		Handler:           handler,
 		Protocols:         protocols,
 		ReadHeaderTimeout: _readHeaderTimeout,
+		WriteTimeout:      _writeTimeout,
 		IdleTimeout:       _callerIdleTimeout,
 		MaxHeaderBytes:    _maxRequestHeaderBytes,
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: _maxConcurrentStreams},
