call: Count responses that are kept against the budget for bodies

Seen: by hand with real processes. Upstreams answer without end and 900 callers at one node don't read: that node takes 269 MB, twice its limit.

Cause: a response of up to 256 KB is kept at the owner and again at the ingress, in a buffer that grows by doubling, and the bound was for each call, not for all of them.

Change: kept responses share the budget of kept request bodies, now an eighth of the memory limit for both. Buffers for copying take 16 KB. All tests of call check that nothing stays reserved. The line 'Upstream did not respond' gives the cause.

--- a/call/body.go
+++ b/call/body.go
@@ -304,7 +304,7 @@
 
 // _copyBufferPool holds *[]byte buffers for copyBody.
 var _copyBufferPool = sync.Pool{New: func() any {
-	buffer := make([]byte, 32<<10)
+	buffer := make([]byte, 16<<10)
 	return &buffer
 }}
 
--- a/call/buffer_budget.go
+++ b/call/buffer_budget.go
@@ -37,3 +37,24 @@
 		b.held.Add(-int64(n))
 	}
 }
+
+// heldBytes are the bytes that are reserved for one body.
+type heldBytes struct {
+	budget *BufferBudget
+	bytes  int
+}
+
+// add reserves n more bytes and returns true if there is room for them.
+func (h *heldBytes) add(n int) bool {
+	if !h.budget.reserve(n) {
+		return false
+	}
+	h.bytes += n
+	return true
+}
+
+// release ends the reservation.
+func (h *heldBytes) release() {
+	h.budget.release(h.bytes)
+	h.bytes = 0
+}
--- a/call/cluster_test.go
+++ b/call/cluster_test.go
@@ -21,6 +21,7 @@
 
 	"lentilferry.example/lentilferry/admission"
 	"lentilferry.example/lentilferry/call"
+	"lentilferry.example/lentilferry/common/socket"
 	"lentilferry.example/lentilferry/config"
 	"lentilferry.example/lentilferry/crash"
 	"lentilferry.example/lentilferry/evidence"
@@ -52,6 +53,8 @@
 	observed *failureCounter
 	// accepted counts the connections from ingresses.
 	accepted *atomic.Int64
+	// buffers bounds the bodies that the owner keeps.
+	buffers *call.BufferBudget
 	*call.Owner
 }
 
@@ -114,6 +117,7 @@
 		NodeCount:        func() int { return 1 },
 		Crashes:          crash.New("ingress"),
 		CrashesChanged:   func() {},
+		Buffers:          newTestBudget(t),
 		ShareSlotsFairly: true,
 		Metrics:          call.NewMetrics(new(expvar.Map), "ingress"),
 		Logger:           klog.Logger{},
@@ -123,6 +127,25 @@
 	return cluster
 }
 
+// _testBufferBytes is the budget of each ingress and owner.
+const _testBufferBytes = 1 << 20
+
+// newTestBudget returns a budget of which nothing may be left reserved when the
+// test ends.
+func newTestBudget(t testing.TB) *call.BufferBudget {
+	t.Helper()
+	budget := call.NewBufferBudget(_testBufferBytes)
+	t.Cleanup(func() {
+		for end := time.Now().Add(5 * time.Second); budget.Held() != 0; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Errorf("%d bytes are still reserved", budget.Held())
+				return
+			}
+		}
+	})
+	return budget
+}
+
 // newHostedCluster is like newTestCluster for upstreams and callers of the
 // users' platform. Its upstreams' responses need no length.
 func newHostedCluster(t testing.TB, timeout time.Duration, upstreams ...netip.AddrPort) *testCluster {
@@ -145,12 +168,22 @@
 	t.Helper()
 	cluster.ingress = call.NewIngress(cluster.ingressDependencies)
 	server := httptest.NewUnstartedServer(cluster.ingress)
+	server.Config.ConnState = limitUnsent
 	server.Config.ConnContext = call.ConnContext
 	server.Start()
 	t.Cleanup(server.Close)
 	cluster.url = server.URL
 }
 
+// limitUnsent bounds what the kernel holds for callers that don't read, as nodes
+// do.
+func limitUnsent(conn net.Conn, state http.ConnState) {
+	if state == http.StateNew {
+		// Fails only on a closed connection.
+		_ = socket.LimitUnsent(conn, 32<<10)
+	}
+}
+
 // useLocalOwner replaces the ingress by one on the node of the first owner.
 func (cluster *testCluster) useLocalOwner(t testing.TB) {
 	t.Helper()
@@ -169,7 +202,7 @@
 // newTestOwnerWith starts an owner with the given dialect.
 func newTestOwnerWith(t testing.TB, id membership.NodeID, upstream netip.AddrPort, dialect call.Dialect, allowCloseDelimited bool) *testOwner {
 	t.Helper()
-	o := &testOwner{gate: admission.New(admission.DefaultLimits(_testSlots)), crashes: crash.New(string(id)), observed: &failureCounter{}, accepted: new(atomic.Int64)}
+	o := &testOwner{gate: admission.New(admission.DefaultLimits(_testSlots)), crashes: crash.New(string(id)), observed: &failureCounter{}, accepted: new(atomic.Int64), buffers: newTestBudget(t)}
 	o.member = membership.Member{
 		ID: id, Incarnation: 1, State: membership.Serving, Zone: "a", Region: "r",
 		Service: "s", Version: "v1", Slots: _testSlots,
@@ -185,15 +218,17 @@
 		Gate:                o.gate,
 		Identities:          identity.New(time.Now(), config.MaxTimeout, 1000),
 		Crashes:             o.crashes,
+		Buffers:             o.buffers,
 		Observer:            o.observed,
 		Metrics:             call.NewMetrics(new(expvar.Map), "owner"),
 		Now:                 time.Now,
 	})
 	server := httptest.NewUnstartedServer(o)
-	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+	server.Config.ConnState = func(conn net.Conn, state http.ConnState) {
 		if state == http.StateNew {
 			o.accepted.Add(1)
 		}
+		limitUnsent(conn, state)
 	}
 	server.Config.ConnContext = call.ConnContext
 	server.Start()
--- a/call/ingress_call.go
+++ b/call/ingress_call.go
@@ -221,7 +221,7 @@
 	result, isRefused := parseRefusal(response)
 	if isRefused {
 		_ = response.Body.Close()
-	} else if err := bufferResponse(response); err != nil {
+	} else if err := bufferResponse(response, deps.Buffers); err != nil {
 		return nil, c.recordForwardFailure(ctx, endpoint, &tracker)
 	}
 	c.updateEndpoint(endpoint, response, result)
--- a/call/owner.go
+++ b/call/owner.go
@@ -308,7 +308,7 @@
 	var tracker writeTracker
 	response, err := o.deps.Transport.RoundTrip(c.newUpstreamRequest(tracker.withTrace(ctx)))
 	if err != nil {
-		result := c.handleUpstreamFailure(ctx, &tracker)
+		result := c.handleUpstreamFailure(ctx, &tracker, err)
 		ending = admission.NotRun
 		if result.Reason == ReasonDeadline {
 			ending = admission.Shed
@@ -331,8 +331,8 @@
 		return nil, result
 	}
 	took := o.deps.Now().Sub(c.admittedAt)
-	if err := bufferResponse(response); err != nil {
-		result := c.handleUpstreamFailure(ctx, &tracker)
+	if err := bufferResponse(response, o.deps.Buffers); err != nil {
+		result := c.handleUpstreamFailure(ctx, &tracker, err)
 		releaseSlot()
 		return nil, result
 	}
@@ -346,8 +346,8 @@
 }
 
 // handleUpstreamFailure records and logs a call that got no complete response
-// from the upstream, and returns its result.
-func (c *ownerCall) handleUpstreamFailure(ctx context.Context, tracker *writeTracker) Result {
+// from the upstream, and why, and returns its result.
+func (c *ownerCall) handleUpstreamFailure(ctx context.Context, tracker *writeTracker, cause error) Result {
 	o := c.owner
 	result := classifyFailure(ctx, tracker)
 	if result.Reason == ReasonConnectionBroken && c.upstreamEnded(ctx, tracker.process()) {
@@ -359,7 +359,7 @@
 	}
 	c.recordUnanswered(result.Reason != ReasonCanceled && result.Reason != ReasonInterrupted)
 	o.deps.Logger.Info("Upstream did not respond", "call", c.forwarded.id, "process", c.process,
-		"outcome", result.Outcome.String(), "reason", result.Reason, "ranFor", o.deps.Now().Sub(c.admittedAt))
+		"outcome", result.Outcome.String(), "reason", result.Reason, "ranFor", o.deps.Now().Sub(c.admittedAt), "cause", cause.Error())
 	return result
 }
 
--- a/lentilferryd/main.go
+++ b/lentilferryd/main.go
@@ -47,7 +47,7 @@
 	_softMemoryFraction = 0.75
 	// _bufferFraction is the fraction of the memory limit that the bodies of calls
 	// may take.
-	_bufferFraction = 0.25
+	_bufferFraction = 0.125
 	// _platformDialTimeout bounds connecting to the platform.
 	_platformDialTimeout = time.Second
 	// _platformIdleConns is how many idle connections to the platform are kept:
