platform: Refuse responses of the store that are too long

Seen: in a test only. A list of the store without end makes the node allocate 1.2 GB.

Cause: the client cut a response off after 4 MB and decoded the beginning. That can't be decoded as a whole, for which there is a second way that decodes each object by itself: 4 MB of empty objects are 1.4 million.

The headers of the platform's responses are bounded at 64 KB instead of net/http's 10 MB, and responses of the product's own object API at 16 MB instead of 64.

--- a/lentilferryd/main.go
+++ b/lentilferryd/main.go
@@ -50,6 +50,8 @@
 	_bufferFraction = 0.125
 	// _platformDialTimeout bounds connecting to the platform.
 	_platformDialTimeout = time.Second
+	// _maxPlatformHeaderBytes bounds the headers of the platform's responses.
+	_maxPlatformHeaderBytes = 64 << 10
 	// _platformIdleConns is how many idle connections to the platform are kept:
 	// one for a watch and the rest for concurrent calls.
 	_platformIdleConns = 4
@@ -169,6 +171,8 @@
 		DialContext:         dial.New(_platformDialTimeout).DialContext,
 		MaxIdleConnsPerHost: _platformIdleConns,
 		IdleConnTimeout:     time.Minute,
+
+		MaxResponseHeaderBytes: _maxPlatformHeaderBytes,
 	}
 	if !s.Hosted {
 		d.Platform = objectstore.NewHTTPClient(objectstore.HTTPDependencies{Base: s.PlatformURL, Transport: transport})
--- a/objectstore/objectstore_http.go
+++ b/objectstore/objectstore_http.go
@@ -26,7 +26,7 @@
 	_watchSlack = time.Second
 	// _maxResponseBytes is the maximum size of a response, also of a list, in
 	// bytes.
-	_maxResponseBytes = 64 << 20
+	_maxResponseBytes = 16 << 20
 )
 
 // HTTPClient calls the object API over HTTP. It sends each call once and leaves
