call: Send long bodies to another node only once their calls have a slot

Seen: in a test. A command with a body of 300 KB or more that waits for a slot at another node for some 3 s ends with 502, unknown: broken, though it was never run.

Cause: connections between nodes close when sent data stays unacknowledged for 3 s, and the kernel counts the time in which the other end has no room. An owner reads 64 KB of a body before its call has a slot, the rest stays in the buffers.

Evidence: TestLongBodyWaitsForSlot fails on the code before with 300 KB and 4 MB (502, broken).

Change: a body of known length above 64 KB is forwarded with Expect: 100-continue. The owner's server asks for it when the call is sent to the upstream.

Measured: the test and those of call pass with the race detector. Long chunked bodies are not mended.

--- a/call/dial.go
+++ b/call/dial.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lentilferry.example/lentilferry/common/dial"
+	"lentilferry.example/lentilferry/config"
 )
 
 // countingConn counts the bytes written to a connection. If no byte of a call
@@ -111,5 +112,7 @@
 		MaxIdleConnsPerHost:    _maxIdleConnsPerNode,
 		IdleConnTimeout:        _forwardIdleTimeout,
 		MaxResponseHeaderBytes: _maxResponseHeaderBytes,
+		// An owner may let a call wait for a slot for as long as its deadline allows.
+		ExpectContinueTimeout: config.MaxTimeout,
 	}
 }
--- a/call/ingress_call.go
+++ b/call/ingress_call.go
@@ -214,6 +214,11 @@
 	out = out.WithContext(tracker.withTrace(ctx))
 	out.Header[headerCall] = []string{forwarded.String()}
 	out.Header[HeaderRemaining] = []string{formatMillis(remaining)}
+	if out.ContentLength > _maxReplayBytes {
+		// The kernel closes the connection if the owner leaves sent bytes unread for
+		// some seconds, as it does while the call waits for a slot.
+		out.Header["Expect"] = []string{"100-continue"}
+	}
 	response, err := deps.Transport.RoundTrip(out)
 	if err != nil {
 		return nil, c.recordForwardFailure(ctx, endpoint, &tracker)
