--- a/config/config.go
+++ b/config/config.go
@@ -4,6 +4,7 @@
 package config
 
 import (
+	"crypto/sha256"
 	"time"
 )
 
@@ -148,6 +149,38 @@
 	// Attempts is the maximum number of upstreams to which a call is sent; 0
 	// for the system's default limit.
 	Attempts uint32
+	// Public is set if calls need no key, where the configuration has
+	// workspaces.
+	Public bool
+}
+
+// WorkspaceName identifies a workspace.
+type WorkspaceName string
+
+// KeyHash is the SHA-256 hash of a workspace's key. Keys themselves are not
+// part of a configuration, so that none can be read from one.
+type KeyHash [sha256.Size]byte
+
+// HashKey returns the hash of a key.
+func HashKey(key string) KeyHash {
+	return sha256.Sum256([]byte(key))
+}
+
+// Workspace is a customer's part of the callers. Its calls carry one of its
+// keys.
+type Workspace struct {
+	Name WorkspaceName
+	// KeyHashes are the hashes of the keys in force. No two workspaces share one.
+	KeyHashes []KeyHash
+	// Rank orders the calls of workspaces by urgency, before the ranks of their
+	// routes; 0 is the most urgent.
+	Rank uint32
+	// Rate is the number of calls a second that the workspace may make, through
+	// all nodes together; 0 for no limit.
+	Rate float64
+	// Burst is how many calls the workspace may make at once beyond Rate; at
+	// least 1 where Rate is set.
+	Burst float64
 }
 
 // Limits bounds the size of requests and the idle time of callers. The node
@@ -206,6 +239,8 @@
 	Routes   []Route
 	Policies []Policy
 	Limits   Limits
+	// Workspaces is empty if calls need no keys.
+	Workspaces []Workspace
 }
 
 // Service returns the service with the given name.
