admission: Order and refuse calls by what that costs their callers

When slots are short, calls that could still be in time waited behind late ones of a lower level, a full queue refused the newest call whatever waited in it, and a workspace that asked for many times its usual took the slots of the others.

With limits that are ByCost, calls that can be in time go before late ones, the rank of the workspace goes before that of the route, workspaces of a rank take turns by the work that they ask for, a full queue refuses the call that costs least, and a level that gets less than its promised share is served first. Other limits order calls as before.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -25,6 +25,9 @@
 	ReasonTooLate Reason = "too-late"
 	// ReasonAbandoned means that the caller gave up while the call was waiting.
 	ReasonAbandoned Reason = "abandoned"
+	// ReasonDisplaced means that the queue was full and the call gave up its
+	// place to one that costs callers more to refuse.
+	ReasonDisplaced Reason = "displaced"
 )
 
 // Result states how an admitted call ended.
@@ -52,6 +55,9 @@
 	// waits.
 	MaxLookupWait  time.Duration
 	MaxCommandWait time.Duration
+	// ByCost orders and refuses calls by what that costs their callers; see
+	// Ticket.compareByCost.
+	ByCost bool
 	// Adaptive lowers the concurrency limit below Slots after the upstream shed
 	// calls. Use it for upstreams that also serve other clients, or whose
 	// number of slots is a guess.
@@ -99,6 +105,14 @@
 	// UsefulUntil is the time until which an answer is of full use to the
 	// caller. It may be before Deadline.
 	UsefulUntil time.Time
+	// Workspace is the workspace that the call belongs to; empty for none.
+	Workspace config.WorkspaceName
+	// WorkspaceRank is the workspace's priority, which goes before Rank; 0 is the
+	// most urgent.
+	WorkspaceRank uint32
+	// WorkspaceWeight is the workspace's part in the slots relative to those of
+	// the same rank; 0 stands for 1. Only limits that are ByCost use it.
+	WorkspaceWeight float64
 }
 
 const (
@@ -152,11 +166,21 @@
 	ticketCount uint64
 	// demand is the recent demand by level.
 	demand demand
+	// shares and turns are only used by limits that are ByCost.
+	shares levelShares
+	turns  workspaceTurns
 }
 
 // New returns a gate with the given limits.
 func New(limits Limits) *Gate {
-	return &Gate{limits: limits, concurrencyLimit: float64(limits.Slots), durationByRoute: make(map[config.RouteName]time.Duration), demand: newDemand()}
+	return &Gate{
+		limits:           limits,
+		concurrencyLimit: float64(limits.Slots),
+		durationByRoute:  make(map[config.RouteName]time.Duration),
+		demand:           newDemand(),
+		shares:           newLevelShares(),
+		turns:            newWorkspaceTurns(),
+	}
 }
 
 // Acquire requests a slot. An admitted call must be passed to Release; a call
@@ -167,6 +191,11 @@
 	t := &Ticket{request: request, arrivedAt: now, expectedDuration: g.expectDuration(request.Route), decided: make(chan struct{})}
 	t.late = now.Add(t.expectedDuration).After(request.UsefulUntil)
 	t.level = levelOf(request.Rank, t.expectedDuration)
+	if g.limits.ByCost {
+		t.level += workspaceLevel(request.WorkspaceRank)
+		t.turn = g.turns.take(now, request, t.expectedDuration)
+		g.shares.recordAsked(now, t.level)
+	}
 	g.ticketCount++
 	t.sequence = g.ticketCount
 	g.demand.add(now, t.level, t.expectedDuration)
@@ -177,7 +206,7 @@
 		t.refuse(ReasonTooLate)
 	case g.hasFreeSlot() && len(g.waiting) == 0:
 		g.admit(now, t)
-	case len(g.waiting) >= g.limits.MaxQueue:
+	case len(g.waiting) >= g.limits.MaxQueue && !g.displaceLast(t):
 		t.retryAfter = g.estimateWait(len(g.waiting))
 		t.refuse(ReasonQueueFull)
 	default:
@@ -211,7 +240,7 @@
 // findPosition returns a call's position among the waiting ones and its
 // expected wait.
 func (g *Gate) findPosition(now time.Time, t *Ticket) (int, time.Duration) {
-	position, _ := slices.BinarySearchFunc(g.waiting, t, (*Ticket).compare)
+	position, _ := slices.BinarySearchFunc(g.waiting, t, g.compare)
 	return position, g.estimateContendedWait(now, position, t)
 }
 
@@ -221,6 +250,9 @@
 	for i := from; i < len(g.waiting); i++ {
 		t := g.waiting[i]
 		wait := g.estimateWait(i)
+		if g.limits.ByCost && g.shares.isStarved(now, t.level) {
+			wait = g.estimateWait(g.countAhead(i, t.level))
+		}
 		if !now.Add(wait + time.Duration(_runDurationFactor*float64(t.expectedDuration))).After(t.request.Deadline) {
 			continue
 		}
@@ -254,6 +286,9 @@
 // estimateContendedWait is like estimateWait, and allows for the calls still to
 // arrive that will overtake this one.
 func (g *Gate) estimateContendedWait(now time.Time, position int, t *Ticket) time.Duration {
+	if g.limits.ByCost && g.shares.isStarved(now, t.level) {
+		return g.estimateWait(g.countAhead(position, t.level))
+	}
 	busy := g.demand.slotsBelow(now, t.level)
 	if t.late {
 		busy = g.demand.slotsBelow(now, t.level+1)
@@ -277,6 +312,9 @@
 }
 
 func (g *Gate) admit(now time.Time, t *Ticket) {
+	if g.limits.ByCost {
+		g.shares.recordServed(now, t.level)
+	}
 	g.running++
 	t.startedAt = now
 	close(t.decided)
@@ -328,7 +366,7 @@
 func (g *Gate) admitWaiting(now time.Time) {
 	for g.hasFreeSlot() && len(g.waiting) > 0 {
 		g.demoteLate(now)
-		t := g.dequeue()
+		t := g.dequeue(now)
 		infeasible := now.Add(time.Duration(_runDurationFactor * float64(t.expectedDuration))).After(t.request.Deadline)
 		if infeasible || now.Sub(t.arrivedAt) > g.maxWait(t.request.Class) {
 			t.refuse(ReasonTooLate)
@@ -349,15 +387,22 @@
 		}
 	}
 	if demoted {
-		slices.SortFunc(g.waiting, (*Ticket).compare)
+		slices.SortFunc(g.waiting, g.compare)
 	}
 }
 
 // dequeue removes and returns the next call to run. The lowest level goes first,
-// but after _maxConsecutiveUrgent of its calls one of a higher level does.
-func (g *Gate) dequeue() *Ticket {
+// but after _maxConsecutiveUrgent of its calls one of a higher level does. With
+// limits that are ByCost, the first call goes, but for those of findStarved.
+func (g *Gate) dequeue(now time.Time) *Ticket {
 	position := 0
 	level := g.waiting[0].level
+	if g.limits.ByCost {
+		position = g.findStarved(now)
+		t := g.waiting[position]
+		g.waiting = slices.Delete(g.waiting, position, position+1)
+		return t
+	}
 	lessUrgent := slices.IndexFunc(g.waiting, func(t *Ticket) bool { return t.level > level })
 	switch {
 	case lessUrgent < 0:
@@ -442,8 +487,12 @@
 	if limits == g.limits {
 		return
 	}
+	reordered := limits.ByCost != g.limits.ByCost
 	g.limits = limits
 	g.concurrencyLimit = float64(limits.Slots)
+	if reordered {
+		slices.SortFunc(g.waiting, g.compare)
+	}
 }
 
 // Load describes how busy an upstream is.
--- a/admission/load_test.go
+++ b/admission/load_test.go
@@ -18,15 +18,17 @@
 	perSecond        float64
 	duration         time.Duration
 	useful, deadline time.Duration
+	workspace        config.WorkspaceName
+	workspaceRank    uint32
 }
 
 // servedShares holds the shares of a route's calls that were served, and served
 // while of full use.
 type servedShares struct{ served, inTime float64 }
 
-// playLoad offers the routes' calls to a gate for the given time and returns
+// playLoad offers the routes' calls to a gate for a minute and returns
 // what their callers get.
-func playLoad(g *Gate, length time.Duration, routes []offeredRoute) map[config.RouteName]servedShares {
+func playLoad(g *Gate, routes []offeredRoute) map[config.RouteName]servedShares {
 	type pending struct {
 		ticket *Ticket
 		route  offeredRoute
@@ -44,12 +46,13 @@
 	var calls []*pending
 	arrived, served, inTime := map[config.RouteName]int{}, map[config.RouteName]int{}, map[config.RouteName]int{}
 	const step = time.Millisecond
-	for now := _start; now.Before(_start.Add(length)); now = now.Add(step) {
+	for now := _start; now.Before(_start.Add(time.Minute)); now = now.Add(step) {
 		for i, r := range routes {
 			for ; !next[i].After(now); next[i] = next[i].Add(gap(r.perSecond)) {
 				arrived[r.name]++
 				ticket := g.Acquire(now, Request{
 					Class: config.ClassCommand, Route: r.name, Rank: r.rank, UsefulUntil: now.Add(r.useful), Deadline: now.Add(r.deadline),
+					Workspace: r.workspace, WorkspaceRank: r.workspaceRank,
 				})
 				calls = append(calls, &pending{ticket: ticket, route: r})
 			}
@@ -86,7 +89,7 @@
 // for: the short calls are served, and the urgent ones lose no more than the
 // excess.
 func TestShortCallsAreServedUnderLoad(t *testing.T) {
-	shares := playLoad(New(ExactLimits(6)), time.Minute, []offeredRoute{
+	shares := playLoad(New(ExactLimits(6)), []offeredRoute{
 		{name: "order", rank: 0, perSecond: 19, duration: 250 * time.Millisecond, useful: 600 * time.Millisecond, deadline: 1200 * time.Millisecond},
 		{name: "stock", rank: 1, perSecond: 24, duration: 55 * time.Millisecond, useful: 200 * time.Millisecond, deadline: 600 * time.Millisecond},
 	})
@@ -97,7 +100,7 @@
 
 // Rank still decides between calls that take about the same time.
 func TestRankDecidesBetweenEqualCalls(t *testing.T) {
-	shares := playLoad(New(ExactLimits(6)), time.Minute, []offeredRoute{
+	shares := playLoad(New(ExactLimits(6)), []offeredRoute{
 		{name: "urgent", rank: 1, perSecond: 12, duration: 300 * time.Millisecond, useful: 800 * time.Millisecond, deadline: 1500 * time.Millisecond},
 		{name: "other", rank: 2, perSecond: 16, duration: 250 * time.Millisecond, useful: 800 * time.Millisecond, deadline: 1500 * time.Millisecond},
 	})
--- a/admission/ticket.go
+++ b/admission/ticket.go
@@ -16,6 +16,9 @@
 	// level orders calls by how much a slot gains by running them first; the
 	// lowest goes first. See levelOf.
 	level int
+	// turn is the place of the call's workspace among the workspaces when the
+	// call arrived; see workspaceTurns. It is 0 unless the limits are ByCost.
+	turn int
 	// callerBacklog is how many calls of the same caller waited on arrival.
 	callerBacklog int
 	// sequence numbers the tickets of a gate in the order of their arrival.
