call: Carry workspaces and take from their allotments

Gives call.Dialect methods for a workspace's key and for the header that names the workspace, admission.Request and the forwarded call the workspace and its rank, and the ingress an interface for allotments. Nothing assigns calls to workspaces yet, so that callers see no change. An ingress of an earlier build sends no fields of the workspace, which the owner accepts.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -94,7 +94,12 @@
 	Deadline time.Time
 	// Route groups calls that take about the same time.
 	Route config.RouteName
-	// Rank is the call's priority; 0 is the most urgent.
+	// Workspace is empty for a call without one.
+	Workspace config.WorkspaceName
+	// WorkspaceRank is the priority of the call's workspace, which comes before
+	// Rank; 0 is the most urgent, also for a call without a workspace.
+	WorkspaceRank uint32
+	// Rank is the priority of the call's route; 0 is the most urgent.
 	Rank uint32
 	// UsefulUntil is the time until which an answer is of full use to the
 	// caller. It may be before Deadline.
--- a/call/dialect.go
+++ b/call/dialect.go
@@ -19,6 +19,14 @@
 	// returns false when the headers don't say, and an error when they are
 	// malformed.
 	Remaining(h http.Header) (time.Duration, bool, error)
+	// Key returns the workspace's key that the caller gave; empty if none.
+	Key(h http.Header) string
+	// RemoveKey removes what Key reads. It leaves the values of h unchanged, which
+	// other requests may share.
+	RemoveKey(h http.Header)
+	// SetWorkspace sets the header that tells an upstream the call's workspace. It
+	// removes the header if the name is empty.
+	SetWorkspace(h http.Header, name config.WorkspaceName)
 	// SetResult sets the headers of a response that Lentilferry itself gives in
 	// place of the upstream's.
 	SetResult(h http.Header, result Result)
@@ -65,12 +73,31 @@
 	return parseRemaining(h)
 }
 
-// SetResult sets HeaderOutcome and HeaderReason, and Retry-After in whole
-// seconds when a call that was not run gets the status 503.
+// Key returns the token of the Authorization header; see TokenOf.
+func (NativeDialect) Key(h http.Header) string { return TokenOf(h) }
+
+// RemoveKey removes the tokens of the Authorization header.
+func (NativeDialect) RemoveKey(h http.Header) { RemoveTokens(h) }
+
+// SetWorkspace sets HeaderWorkspace.
+func (NativeDialect) SetWorkspace(h http.Header, name config.WorkspaceName) {
+	if name == "" {
+		delete(h, HeaderWorkspace)
+		return
+	}
+	h[HeaderWorkspace] = []string{string(name)}
+}
+
+// SetResult sets HeaderOutcome and HeaderReason, Retry-After in whole seconds
+// when a call that was not run gets the status 503 or 429, and the challenge of
+// the status 401.
 func (NativeDialect) SetResult(h http.Header, result Result) {
 	h.Set(HeaderOutcome, result.Outcome.String())
 	h.Set(HeaderReason, string(result.Reason))
-	if result.Outcome == NotRun && result.status() == http.StatusServiceUnavailable {
+	switch status := result.status(); {
+	case status == http.StatusUnauthorized:
+		SetTokenChallenge(h)
+	case result.Outcome == NotRun && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests):
 		seconds := max(1, int((result.RetryAfter+time.Second-1)/time.Second))
 		h.Set("Retry-After", strconv.Itoa(seconds))
 	}
--- a/call/forward.go
+++ b/call/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"io"
 	"net/http"
 	"net/textproto"
@@ -36,13 +37,33 @@
 	idempotent bool
 	// rank is the route's priority; 0 is the highest.
 	rank uint32
+	// workspace is that of the call's key; zero for a call without one.
+	workspace workspaceRef
 	// usefulFor is the time left until the route's latency objective, or until
 	// the deadline if the route has none. Zero or less when that has passed.
 	usefulFor time.Duration
 }
 
-// _forwardedFieldCount is the number of fields in the header's value.
-const _forwardedFieldCount = 10
+// workspaceRef is what the owner is told about the workspace of a call.
+type workspaceRef struct {
+	// name is empty for a call without a workspace.
+	name config.WorkspaceName
+	// rank is the workspace's priority, before that of the route; 0 is the
+	// highest.
+	rank uint32
+	// key is the hash of the key by which the ingress found the workspace.
+	key config.KeyHash
+	// revision is the number of the configuration in which it found it.
+	revision uint64
+}
+
+// _forwardedFieldCount is the number of fields in the value of the header for a
+// call without a workspace, and _workspaceFieldCount that of the fields that
+// follow them for a call with one.
+const (
+	_forwardedFieldCount = 10
+	_workspaceFieldCount = 4
+)
 
 // _emptyField stands for an empty field in the header's value.
 const _emptyField = "-"
@@ -60,14 +81,44 @@
 		idempotent = "1"
 	}
 	return f.id + " " + strconv.Itoa(f.attempt) + " " + f.owner + " " + string(f.route) + " " + strconv.Itoa(int(f.class)) + " " + f.caller +
-		" " + sourceService + " " + idempotent + " " + strconv.FormatUint(uint64(f.rank), 10) + " " + strconv.FormatInt(f.usefulFor.Milliseconds(), 10)
+		" " + sourceService + " " + idempotent + " " + strconv.FormatUint(uint64(f.rank), 10) + " " + strconv.FormatInt(f.usefulFor.Milliseconds(), 10) + f.workspace.fields()
+}
+
+// fields returns the fields that follow those of a call without a workspace. It
+// returns none for such a call, so that the header's value is that of earlier
+// builds.
+func (w workspaceRef) fields() string {
+	if w.name == "" {
+		return ""
+	}
+	return " " + url.QueryEscape(string(w.name)) + " " + strconv.FormatUint(uint64(w.rank), 10) + " " +
+		base64.RawURLEncoding.EncodeToString(w.key[:]) + " " + strconv.FormatUint(w.revision, 10)
 }
 
-// parseForwardedCall parses the value of headerCall. It returns an error when
-// the number of fields is wrong or a number is malformed.
+// parseWorkspaceRef parses the fields that workspaceRef.fields returns.
+func parseWorkspaceRef(fields []string) (workspaceRef, error) {
+	name, err := url.QueryUnescape(fields[0])
+	if err != nil {
+		return workspaceRef{}, errors.Wrap(err, headerCall)
+	}
+	rank, err := strconv.ParseUint(fields[1], 10, 32)
+	if err != nil {
+		return workspaceRef{}, errors.Wrap(err, headerCall)
+	}
+	key, err := base64.RawURLEncoding.DecodeString(fields[2])
+	if err != nil || len(key) != len(config.KeyHash{}) {
+		return workspaceRef{}, errors.Newf("%s has a malformed hash", headerCall)
+	}
+	revision, err := strconv.ParseUint(fields[3], 10, 64)
+	return workspaceRef{name: config.WorkspaceName(name), rank: uint32(rank), key: config.KeyHash(key), revision: revision}, errors.Wrap(err, headerCall)
+}
+
+// parseForwardedCall parses the value of headerCall. Ingresses of earlier builds
+// send no fields of the workspace. It returns an error when the number of fields
+// is wrong or a field is malformed.
 func parseForwardedCall(text string) (forwardedCall, error) {
 	fields := strings.Split(text, " ")
-	if len(fields) != _forwardedFieldCount {
+	if len(fields) != _forwardedFieldCount && len(fields) != _forwardedFieldCount+_workspaceFieldCount {
 		return forwardedCall{}, errors.Newf("%s has the wrong number of fields: %d", headerCall, len(fields))
 	}
 	var parseErr error
@@ -88,6 +139,10 @@
 	if f.caller == _emptyField {
 		f.caller = ""
 	}
+	if len(fields) > _forwardedFieldCount {
+		workspace, err := parseWorkspaceRef(fields[_forwardedFieldCount:])
+		f.workspace, parseErr = workspace, errors.CombineErrors(parseErr, err)
+	}
 	return f, parseErr
 }
 
--- a/call/ingress.go
+++ b/call/ingress.go
@@ -45,6 +45,16 @@
 	Choose(now time.Time, q routing.Query) (*routing.Endpoint, bool)
 }
 
+// Allotments limits how many calls the workspaces make. It is safe for concurrent
+// use.
+type Allotments interface {
+	// Take takes one call from a workspace's allotment. If none is left it
+	// returns false, and when a call is expected to be let in.
+	Take(now time.Time, name config.WorkspaceName) (ok bool, retryAfter time.Duration)
+	// GiveBack returns a call that has not run.
+	GiveBack(now time.Time, name config.WorkspaceName)
+}
+
 // IngressDependencies holds what NewIngress needs.
 type IngressDependencies struct {
 	Routes    Routes
@@ -69,6 +79,8 @@
 	CrashesChanged func()
 	// Buffers bounds the bodies that are kept in memory; nil for no bound.
 	Buffers *BufferBudget
+	// Allotments is nil if the calls of workspaces aren't limited.
+	Allotments Allotments
 	// ShareSlotsFairly shares the slots of an upstream fairly among the IP
 	// addresses of the callers.
 	ShareSlotsFairly bool
@@ -129,13 +141,17 @@
 	i.inFlight.begin()
 	defer i.inFlight.end()
 	if i.stopped.Load() {
-		i.refuse(w, r, Reason(admission.ReasonDraining))
+		i.refuse(w, r, Result{Outcome: NotRun, Reason: Reason(admission.ReasonDraining)})
 		return
 	}
 	now := i.deps.Now()
 	a, reason := i.accept(now, r)
 	if reason != "" {
-		i.refuse(w, r, reason)
+		i.refuse(w, r, Result{Outcome: NotRun, Reason: reason})
+		return
+	}
+	if ok, retryAfter := i.takeAllotment(now, a.workspace); !ok {
+		i.refuse(w, r, Result{Outcome: NotRun, Reason: ReasonAllotment, RetryAfter: retryAfter})
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), now.Add(a.remaining))
@@ -185,6 +201,8 @@
 		versions:        [2]config.VersionSet{first, second},
 		waited:          a.waited,
 		callerRemaining: a.callerRemaining,
+		workspace:       a.workspace,
+		hasWorkspaces:   a.hasWorkspaces,
 	}
 }
 
@@ -202,6 +220,10 @@
 	waited time.Duration
 	// depth is the number of services that the call has passed through.
 	depth int
+	// workspace is that of the call's key; zero for a call without one.
+	workspace workspaceRef
+	// hasWorkspaces is set if the configuration has workspaces.
+	hasWorkspaces bool
 	// maxBodyBytes bounds a body without a length; 0 for no bound.
 	maxBodyBytes int64
 }
@@ -267,13 +289,28 @@
 	return acceptedCall{target: target, remaining: remaining, callerRemaining: callerRemaining, waited: waited, depth: depth, maxBodyBytes: table.Limits.BodyBytes}, ""
 }
 
+// takeAllotment takes one call from the allotment of the call's workspace, if it
+// has one. It returns false, and when to retry, if none is left.
+func (i *Ingress) takeAllotment(now time.Time, w workspaceRef) (bool, time.Duration) {
+	if i.deps.Allotments == nil || w.name == "" {
+		return true, 0
+	}
+	return i.deps.Allotments.Take(now, w.name)
+}
+
+// giveBack returns to its workspace's allotment a call that has not run.
+func (i *Ingress) giveBack(w workspaceRef) {
+	if i.deps.Allotments != nil && w.name != "" {
+		i.deps.Allotments.GiveBack(i.deps.Now(), w.name)
+	}
+}
+
 // refuse responds to a call that was not run.
-func (i *Ingress) refuse(w http.ResponseWriter, r *http.Request, reason Reason) {
+func (i *Ingress) refuse(w http.ResponseWriter, r *http.Request, result Result) {
 	// The server reads the rest of a short body before it sends the response.
 	setReadDeadline(w, r, i.deps.Now())
-	result := Result{Outcome: NotRun, Reason: reason}
 	i.deps.Metrics.count(result)
-	i.deps.Logger.Info("Refused call", "call", i.deps.Dialect.CallID(r.Header), "host", r.Host, "path", r.URL.Path, "reason", reason)
+	i.deps.Logger.Info("Refused call", "call", i.deps.Dialect.CallID(r.Header), "host", r.Host, "path", r.URL.Path, "reason", result.Reason)
 	result.write(w, i.deps.Dialect)
 }
 
--- a/call/ingress_call.go
+++ b/call/ingress_call.go
@@ -41,6 +41,11 @@
 	// retryAfter is the shortest RetryAfter of the owners that refused the call;
 	// 0 if none gave one.
 	retryAfter time.Duration
+	// workspace is that of the call's key; zero for a call without one.
+	workspace workspaceRef
+	// hasWorkspaces is set if the configuration has workspaces, so that the key
+	// and the workspace header are removed from the caller's request.
+	hasWorkspaces bool
 	// isTrial is set while the current attempt is a trial of a call that has
 	// crashed upstreams.
 	isTrial bool
@@ -87,6 +92,9 @@
 func (c *ingressCall) recordResult(result Result) {
 	m := c.ingress.deps.Metrics
 	m.count(result)
+	if result.Outcome == NotRun {
+		c.ingress.giveBack(c.workspace)
+	}
 	m.latency.record(c.target.Route.Name, result.Outcome, c.ingress.deps.Now().Sub(c.receivedAt))
 }
 
@@ -156,7 +164,7 @@
 // result. Sending a call to a further upstream uses the retry budget; retrying
 // one that no upstream has received doesn't.
 func (c *ingressCall) mayRetry(ctx context.Context, result Result) bool {
-	if ctx.Err() != nil || !c.body.replayable() || result.Reason == ReasonCrashesUpstreams {
+	if ctx.Err() != nil || !c.body.replayable() || result.Reason == ReasonCrashesUpstreams || result.Reason == ReasonKeyWithdrawn {
 		return false
 	}
 	if result.Outcome == Unknown && (!c.idempotent() || result.Reason == ReasonDeadline || result.Reason == ReasonCloseDelimited) {
@@ -203,6 +211,10 @@
 	deps := c.ingress.deps
 	forwarded := c.newForwardedCall(endpoint, attempt)
 	out := newOutgoingRequest(ctx, c.request, endpoint.Address, body, deps.Dialect)
+	if c.hasWorkspaces {
+		deps.Dialect.RemoveKey(out.Header)
+		deps.Dialect.SetWorkspace(out.Header, "")
+	}
 	out.Header[HeaderDepth] = []string{strconv.Itoa(c.depth + 1)}
 	remaining := c.deadline.Sub(deps.Now())
 	if deps.LocalOwner != nil && endpoint.Instance == deps.Self().Instance() {
@@ -265,6 +277,7 @@
 		sourceService: c.ingress.deps.SourceService,
 		idempotent:    c.idempotent(),
 		rank:          rankOf(route),
+		workspace:     c.workspace,
 		usefulFor:     usefulFor - c.ingress.deps.Now().Sub(c.receivedAt),
 	}
 }
--- a/call/ingress_result.go
+++ b/call/ingress_result.go
@@ -76,9 +76,9 @@
 	case result.Outcome == Answered && response.StatusCode < http.StatusInternalServerError:
 		endpoint.RecordSuccess()
 	case result.Outcome == NotRun && (result.Reason == Reason(admission.ReasonTooLate) || result.Reason == Reason(admission.ReasonQueueFull)),
-		result.Reason == ReasonCanceled, result.Reason == Reason(admission.ReasonAbandoned), result.Reason == ReasonCrashesUpstreams:
-		// These show only that the upstream is loaded, that the caller gave up or
-		// what the call itself does.
+		result.Reason == ReasonCanceled, result.Reason == Reason(admission.ReasonAbandoned), result.Reason == ReasonCrashesUpstreams, result.Reason == ReasonKeyWithdrawn:
+		// These show only that the upstream is loaded, that the caller gave up, what
+		// the call itself does or that its key was withdrawn.
 	case result.Outcome == NotRun && result.Reason != ReasonUpstreamRefused:
 		// The owner has no upstream that it can send the call to.
 		endpoint.RecordConnectFailure(now)
--- a/call/outcome.go
+++ b/call/outcome.go
@@ -66,6 +66,17 @@
 	// ReasonBadRequest means that one of the request's headers for Lentilferry is
 	// malformed.
 	ReasonBadRequest Reason = "bad-request"
+	// ReasonMissingKey means that the call has no workspace's key and its route
+	// isn't public.
+	ReasonMissingKey Reason = "missing-key"
+	// ReasonUnknownKey means that the call's key is that of no workspace and its
+	// route isn't public.
+	ReasonUnknownKey Reason = "unknown-key"
+	// ReasonKeyWithdrawn means that the call's key was withdrawn while the call
+	// waited at the owner.
+	ReasonKeyWithdrawn Reason = "key-withdrawn"
+	// ReasonAllotment means that the call's workspace has used up its allotment.
+	ReasonAllotment Reason = "allotment"
 	// ReasonHeadersTooLarge means that the request's headers exceed the
 	// configured limit.
 	ReasonHeadersTooLarge Reason = "headers-too-large"
@@ -118,6 +129,9 @@
 	// HeaderDepth is the number of services that a call has passed through. An
 	// upstream passes it on in the calls that it makes.
 	HeaderDepth = "Lentilferry-Depth"
+	// HeaderWorkspace is the name of the call's workspace, in requests to
+	// upstreams.
+	HeaderWorkspace = "Lentilferry-Workspace"
 
 	// headerPrefix begins the name of each header of Lentilferry's own.
 	headerPrefix = "Lentilferry-"
@@ -157,6 +171,12 @@
 	return r.Outcome != NotRun || r.Reason == ReasonUpstreamRefused
 }
 
+// IsUnauthorized reports whether the call was refused for want of a workspace's
+// key.
+func (r Result) IsUnauthorized() bool {
+	return r.Reason == ReasonMissingKey || r.Reason == ReasonUnknownKey
+}
+
 // write writes a result other than Answered as the response, with its outcome
 // and reason as the body.
 func (r Result) write(w http.ResponseWriter, dialect Dialect) {
@@ -177,6 +197,10 @@
 	switch r.Reason {
 	case ReasonNoRoute:
 		return http.StatusNotFound
+	case ReasonMissingKey, ReasonUnknownKey:
+		return http.StatusUnauthorized
+	case ReasonAllotment:
+		return http.StatusTooManyRequests
 	case ReasonBadRequest:
 		return http.StatusBadRequest
 	case ReasonHeadersTooLarge:
--- a/call/owner.go
+++ b/call/owner.go
@@ -255,12 +255,14 @@
 	o := c.owner
 	gate := o.deps.Gate
 	ticket := gate.Acquire(c.arrivedAt, admission.Request{
-		Class:       c.forwarded.class,
-		Caller:      c.forwarded.caller,
-		Deadline:    c.deadline,
-		Rank:        c.forwarded.rank,
-		Route:       c.forwarded.route,
-		UsefulUntil: c.arrivedAt.Add(c.forwarded.usefulFor),
+		Class:         c.forwarded.class,
+		Caller:        c.forwarded.caller,
+		Deadline:      c.deadline,
+		Workspace:     c.forwarded.workspace.name,
+		WorkspaceRank: c.forwarded.workspace.rank,
+		Rank:          c.forwarded.rank,
+		Route:         c.forwarded.route,
+		UsefulUntil:   c.arrivedAt.Add(c.forwarded.usefulFor),
 	})
 	select {
 	case <-ticket.Decided():
@@ -424,6 +426,9 @@
 		// Unexpected: the depth comes from the forwarding node. Goes on with 0.
 		o.deps.Logger.Info("Invalid call depth", "call", c.forwarded.id, "cause", err.Error())
 	}
+	if name := c.forwarded.workspace.name; name != "" {
+		o.deps.Dialect.SetWorkspace(out.Header, name)
+	}
 	o.deps.Dialect.SetUpstreamHeaders(out.Header, UpstreamHeaders{
 		Remaining:     c.deadline.Sub(o.deps.Now()),
 		Process:       c.process,
