config: Give configurations workspaces and public routes

Operators can state workspaces with keys, ranks and allotments, in YAML as well as in the platform's configuration. Keys are hashed where a configuration is decoded. A document with workspaces is no longer quoted in the error about its syntax, since the quoted part could contain a key; the place is given instead. Each workspace is a resource of its own, so that a change to one is sent alone.

--- a/config/config.go
+++ b/config/config.go
@@ -217,6 +217,8 @@
 	MaxRoutes = 10_000
 	// MaxVersionsPerService is the maximum number of versions of a service.
 	MaxVersionsPerService = 16
+	// MaxWorkspaces is the maximum number of workspaces.
+	MaxWorkspaces = 10_000
 	// MaxNameBytes is the maximum length of a resource name, in bytes.
 	MaxNameBytes = 128
 )
--- a/config/config_check.go
+++ b/config/config_check.go
@@ -19,6 +19,7 @@
 	k.checkServices()
 	k.checkRoutes()
 	k.checkPolicies()
+	k.checkWorkspaces()
 	return k.found
 }
 
--- a/config/config_yaml.go
+++ b/config/config_yaml.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/hex"
 	"fmt"
 	"math"
 	"slices"
@@ -58,6 +59,19 @@
 	Objective  string        `yaml:"objective,omitempty"`
 	Rank       uint32        `yaml:"rank,omitempty"`
 	Attempts   uint32        `yaml:"attempts,omitempty"`
+	Public     bool          `yaml:"public,omitempty"`
+}
+
+type yamlWorkspace struct {
+	Name string `yaml:"name"`
+	// Keys are in clear text. They are hashed when the document is parsed and
+	// never formatted.
+	Keys []string `yaml:"keys,omitempty"`
+	// KeyHashes are the SHA-256 hashes of further keys, in hexadecimal.
+	KeyHashes     []string `yaml:"keyHashes,omitempty"`
+	Rank          uint32   `yaml:"rank,omitempty"`
+	RatePerSecond float64  `yaml:"ratePerSecond,omitempty"`
+	Burst         float64  `yaml:"burst,omitempty"`
 }
 
 type yamlPolicy struct {
@@ -69,11 +83,12 @@
 }
 
 type yamlConfig struct {
-	Services []yamlService `yaml:"services"`
-	Versions []yamlVersion `yaml:"versions"`
-	Routes   []yamlRoute   `yaml:"routes"`
-	Policies []yamlPolicy  `yaml:"policies,omitempty"`
-	Limits   yamlLimits    `yaml:"limits,omitempty"`
+	Services   []yamlService   `yaml:"services"`
+	Versions   []yamlVersion   `yaml:"versions"`
+	Routes     []yamlRoute     `yaml:"routes"`
+	Policies   []yamlPolicy    `yaml:"policies,omitempty"`
+	Limits     yamlLimits      `yaml:"limits,omitempty"`
+	Workspaces []yamlWorkspace `yaml:"workspaces,omitempty"`
 }
 
 // ParseYAML parses a configuration document. For a service without weights it
@@ -89,7 +104,7 @@
 	var raw yamlConfig
 	decoder := yaml.NewDecoder(bytes.NewReader(document), yaml.Strict())
 	if err := decoder.Decode(&raw); err != nil {
-		return Config{}, errors.Newf("document is not a valid configuration: %s", strings.TrimSpace(yaml.FormatError(err, false, true)))
+		return Config{}, errors.Newf("document is not a valid configuration: %s", describeSyntaxError(document, err))
 	}
 	p := yamlParser{current: current}
 	c := p.config(raw)
@@ -100,6 +115,21 @@
 	return c, nil
 }
 
+// describeSyntaxError returns why a document can't be parsed. The parser's own
+// text quotes the document, so that only the place is given where the document
+// has workspaces, whose keys the text could contain.
+func describeSyntaxError(document []byte, err error) string {
+	if !bytes.Contains(document, []byte("workspaces")) {
+		return strings.TrimSpace(yaml.FormatError(err, false, true))
+	}
+	var located yaml.Error
+	if !errors.As(err, &located) || located.GetToken() == nil || located.GetToken().Position == nil {
+		return "not shown, as the document may contain keys"
+	}
+	position := located.GetToken().Position
+	return fmt.Sprintf("line %d, column %d is malformed or has an unknown field; not shown, as the document may contain keys", position.Line, position.Column)
+}
+
 // yamlParser converts a parsed document to a configuration and collects its
 // faults.
 type yamlParser struct {
@@ -125,6 +155,9 @@
 	for _, policy := range raw.Policies {
 		c.Policies = append(c.Policies, p.policy(policy))
 	}
+	for _, w := range raw.Workspaces {
+		c.Workspaces = append(c.Workspaces, p.workspace(w))
+	}
 	c.Limits = Limits{
 		HeaderBytes:   raw.Limits.HeaderBytes,
 		BodyBytes:     raw.Limits.BodyBytes,
@@ -202,6 +235,7 @@
 		Objective:  p.optionalDuration(field+".objective", raw.Objective),
 		Rank:       raw.Rank,
 		Attempts:   raw.Attempts,
+		Public:     raw.Public,
 	}
 	for _, b := range raw.Backends {
 		r.Backends = append(r.Backends, Backend{Service: ServiceName(b.Service), Weight: b.Weight})
@@ -236,6 +270,23 @@
 	return policy
 }
 
+func (p *yamlParser) workspace(raw yamlWorkspace) Workspace {
+	w := Workspace{Name: WorkspaceName(raw.Name), Rank: raw.Rank, Rate: raw.RatePerSecond, Burst: raw.Burst}
+	for _, key := range raw.Keys {
+		w.KeyHashes = append(w.KeyHashes, HashKey(key))
+	}
+	for i, text := range raw.KeyHashes {
+		hash, err := hex.DecodeString(text)
+		if err != nil || len(hash) != len(KeyHash{}) {
+			// The text is not quoted, since it may be a key.
+			p.faultf(fmt.Sprintf("workspaces[%s].keyHashes[%d]", raw.Name, i), "is not a SHA-256 hash in hexadecimal; write keys under keys")
+			continue
+		}
+		w.KeyHashes = append(w.KeyHashes, KeyHash(hash))
+	}
+	return w
+}
+
 // FormatYAML formats a configuration as a document that ParseYAML accepts.
 func FormatYAML(c Config) ([]byte, error) {
 	var raw yamlConfig
@@ -261,6 +312,9 @@
 	for _, p := range c.Policies {
 		raw.Policies = append(raw.Policies, formatPolicy(p))
 	}
+	for _, w := range c.Workspaces {
+		raw.Workspaces = append(raw.Workspaces, formatWorkspace(w))
+	}
 	document, err := yaml.Marshal(raw)
 	return document, errors.Wrap(err, "format configuration")
 }
@@ -269,7 +323,7 @@
 	raw := yamlRoute{
 		Name: string(r.Name), Service: string(r.Service), Host: r.Host,
 		PathPrefix: r.PathPrefix, Class: r.Class.String(), Timeout: r.Timeout.String(),
-		Idempotent: r.Idempotent, Objective: formatOptional(r.Objective), Rank: r.Rank, Attempts: r.Attempts,
+		Idempotent: r.Idempotent, Objective: formatOptional(r.Objective), Rank: r.Rank, Attempts: r.Attempts, Public: r.Public,
 	}
 	for _, b := range r.Backends {
 		raw.Backends = append(raw.Backends, yamlBackend{Service: string(b.Service), Weight: b.Weight})
@@ -277,6 +331,14 @@
 	return raw
 }
 
+func formatWorkspace(w Workspace) yamlWorkspace {
+	raw := yamlWorkspace{Name: string(w.Name), Rank: w.Rank, RatePerSecond: w.Rate, Burst: w.Burst}
+	for _, hash := range w.KeyHashes {
+		raw.KeyHashes = append(raw.KeyHashes, hex.EncodeToString(hash[:]))
+	}
+	return raw
+}
+
 func formatPolicy(p Policy) yamlPolicy {
 	calls := p.MinStageCalls
 	raw := yamlPolicy{
--- a/revision/revision.go
+++ b/revision/revision.go
@@ -40,6 +40,7 @@
 	KindRoute
 	KindPolicy
 	KindLimits
+	KindWorkspace
 )
 
 // LimitsName is the name of the only resource of kind KindLimits.
@@ -58,6 +59,8 @@
 		return "policy"
 	case KindLimits:
 		return "limits"
+	case KindWorkspace:
+		return "workspace"
 	default:
 		return "unknown"
 	}
--- a/routing/table.go
+++ b/routing/table.go
@@ -43,6 +43,14 @@
 type Table struct {
 	// Limits bounds what callers may send.
 	Limits config.Limits
+	// Revision is the number of the configuration; 0 if it is not known.
+	Revision uint64
+	// workspaces holds the workspace of each key. It points into the
+	// configuration, which is immutable.
+	workspaces map[config.KeyHash]*config.Workspace
+	// hasWorkspaces is set if the configuration has workspaces, also if these
+	// have no keys.
+	hasWorkspaces bool
 	// byHost holds the targets of each host, longest path prefix first. The
 	// empty host takes the calls that match no route of their own host.
 	byHost map[string][]*Target
@@ -52,7 +60,7 @@
 // table, if any, also has keep their positions in the split sequences and their
 // longest timeout.
 func NewTable(c config.Config, previous *Table, rnd *rand.Rand) *Table {
-	t := &Table{Limits: c.Limits, byHost: make(map[string][]*Target)}
+	t := &Table{Limits: c.Limits, workspaces: newWorkspaces(c.Workspaces), hasWorkspaces: len(c.Workspaces) > 0, byHost: make(map[string][]*Target)}
 	services := make(map[config.ServiceName]*config.Service, len(c.Services))
 	for i := range c.Services {
 		services[c.Services[i].Name] = &c.Services[i]
@@ -76,6 +84,30 @@
 	return t
 }
 
+// newWorkspaces returns the workspace of each key.
+func newWorkspaces(workspaces []config.Workspace) map[config.KeyHash]*config.Workspace {
+	byKey := make(map[config.KeyHash]*config.Workspace)
+	for i := range workspaces {
+		for _, key := range workspaces[i].KeyHashes {
+			byKey[key] = &workspaces[i]
+		}
+	}
+	return byKey
+}
+
+// HasWorkspaces reports whether calls need a workspace's key, except on public
+// routes.
+func (t *Table) HasWorkspaces() bool {
+	return t.hasWorkspaces
+}
+
+// WorkspaceOf returns the workspace of a key, in a time that doesn't depend on
+// the number of keys. It returns false if no workspace has the key.
+func (t *Table) WorkspaceOf(key config.KeyHash) (*config.Workspace, bool) {
+	w, ok := t.workspaces[key]
+	return w, ok
+}
+
 // newBackends returns the backends of a route with their parts of the unit
 // interval, nil if the route has a single service.
 func newBackends(r *config.Route, services map[config.ServiceName]*config.Service) []backend {
--- a/wire/config.go
+++ b/wire/config.go
@@ -56,9 +56,32 @@
 	if c.Limits != (config.Limits{}) {
 		add(revision.KindLimits, revision.LimitsName, &lentilferryv1.Resource{Resource: &lentilferryv1.Resource_Limits{Limits: encodeLimits(c.Limits)}})
 	}
+	for _, w := range c.Workspaces {
+		add(revision.KindWorkspace, string(w.Name), &lentilferryv1.Resource{Resource: &lentilferryv1.Resource_Workspace{Workspace: encodeWorkspace(w)}})
+	}
 	return resources, marshalErr
 }
 
+func encodeWorkspace(w config.Workspace) *lentilferryv1.Workspace {
+	message := &lentilferryv1.Workspace{Name: string(w.Name), Rank: w.Rank, Rate: w.Rate, Burst: w.Burst}
+	for _, hash := range w.KeyHashes {
+		message.KeyHashes = append(message.KeyHashes, hash[:])
+	}
+	return message
+}
+
+// decodeWorkspace maps a message to its workspace. Its error is ErrMalformed.
+func decodeWorkspace(message *lentilferryv1.Workspace) (config.Workspace, error) {
+	w := config.Workspace{Name: config.WorkspaceName(message.GetName()), Rank: message.GetRank(), Rate: message.GetRate(), Burst: message.GetBurst()}
+	for _, hash := range message.GetKeyHashes() {
+		if len(hash) != len(config.KeyHash{}) {
+			return config.Workspace{}, errors.Wrapf(ErrMalformed, "workspace %q has a hash of %d bytes", w.Name, len(hash))
+		}
+		w.KeyHashes = append(w.KeyHashes, config.KeyHash(hash))
+	}
+	return w, nil
+}
+
 func encodeLimits(l config.Limits) *lentilferryv1.Limits {
 	return &lentilferryv1.Limits{
 		HeaderBytes:        l.HeaderBytes,
@@ -104,6 +127,7 @@
 		ObjectiveNanos: int64(r.Objective),
 		Rank:           r.Rank,
 		Attempts:       r.Attempts,
+		Public:         r.Public,
 	}
 	for _, b := range r.Backends {
 		message.Backends = append(message.Backends, &lentilferryv1.Backend{Service: string(b.Service), Weight: b.Weight})
@@ -133,9 +157,9 @@
 		if err := proto.Unmarshal(r.Value, &message); err != nil {
 			return config.Config{}, errors.Mark(errors.Wrapf(err, "decode %s %q", r.Key.Kind, r.Key.Name), ErrMalformed)
 		}
-		key, ok := addResource(&c, &message)
-		if !ok {
-			return config.Config{}, errors.Wrapf(ErrMalformed, "%s %q has a kind that this version of Lentilferry does not support", r.Key.Kind, r.Key.Name)
+		key, err := addResource(&c, &message)
+		if err != nil {
+			return config.Config{}, errors.Wrapf(err, "decode %s %q", r.Key.Kind, r.Key.Name)
 		}
 		if key != r.Key {
 			return config.Config{}, errors.Wrapf(ErrMalformed, "%s %q contains %s %q", r.Key.Kind, r.Key.Name, key.Kind, key.Name)
@@ -144,28 +168,32 @@
 	return c, nil
 }
 
-// addResource adds a resource to c and returns its key; false if its kind is
-// unknown.
-func addResource(c *config.Config, message *lentilferryv1.Resource) (revision.EntryKey, bool) {
+// addResource adds a resource to c and returns its key. Its error is
+// ErrMalformed.
+func addResource(c *config.Config, message *lentilferryv1.Resource) (revision.EntryKey, error) {
 	switch r := message.GetResource().(type) {
 	case *lentilferryv1.Resource_Service:
 		c.Services = append(c.Services, decodeService(r.Service))
-		return revision.EntryKey{Kind: revision.KindService, Name: r.Service.GetName()}, true
+		return revision.EntryKey{Kind: revision.KindService, Name: r.Service.GetName()}, nil
 	case *lentilferryv1.Resource_Version:
 		v := config.Version{Service: config.ServiceName(r.Version.GetService()), Name: config.VersionName(r.Version.GetName())}
 		c.Versions = append(c.Versions, v)
-		return revision.EntryKey{Kind: revision.KindVersion, Name: string(v.Service) + "/" + string(v.Name)}, true
+		return revision.EntryKey{Kind: revision.KindVersion, Name: string(v.Service) + "/" + string(v.Name)}, nil
 	case *lentilferryv1.Resource_Route:
 		c.Routes = append(c.Routes, decodeRoute(r.Route))
-		return revision.EntryKey{Kind: revision.KindRoute, Name: r.Route.GetName()}, true
+		return revision.EntryKey{Kind: revision.KindRoute, Name: r.Route.GetName()}, nil
 	case *lentilferryv1.Resource_Policy:
 		c.Policies = append(c.Policies, decodePolicy(r.Policy))
-		return revision.EntryKey{Kind: revision.KindPolicy, Name: r.Policy.GetService()}, true
+		return revision.EntryKey{Kind: revision.KindPolicy, Name: r.Policy.GetService()}, nil
 	case *lentilferryv1.Resource_Limits:
 		c.Limits = decodeLimits(r.Limits)
-		return revision.EntryKey{Kind: revision.KindLimits, Name: revision.LimitsName}, true
+		return revision.EntryKey{Kind: revision.KindLimits, Name: revision.LimitsName}, nil
+	case *lentilferryv1.Resource_Workspace:
+		w, err := decodeWorkspace(r.Workspace)
+		c.Workspaces = append(c.Workspaces, w)
+		return revision.EntryKey{Kind: revision.KindWorkspace, Name: r.Workspace.GetName()}, err
 	default:
-		return revision.EntryKey{}, false
+		return revision.EntryKey{}, errors.Wrap(ErrMalformed, "it has a kind that this version of Lentilferry does not support")
 	}
 }
 
@@ -196,6 +224,7 @@
 		Objective:  time.Duration(message.GetObjectiveNanos()),
 		Rank:       message.GetRank(),
 		Attempts:   message.GetAttempts(),
+		Public:     message.GetPublic(),
 	}
 	for _, b := range message.GetBackends() {
 		r.Backends = append(r.Backends, config.Backend{Service: config.ServiceName(b.GetService()), Weight: b.GetWeight()})
