call: Check the keys of workspaces at the ingress

With workspaces, a call on a route that isn't public and without a known key is refused with 401 before a slot, a hop or its body is spent. A call that waits at its owner is refused as not run if the owner's newer configuration lacks the key; the ingress therefore tells the owner the hash of the key and the number of its configuration.

--- a/call/cluster_test.go
+++ b/call/cluster_test.go
@@ -37,8 +37,10 @@
 	url     string
 	ingress *call.Ingress
 	table   *routing.Table
-	owners  []*testOwner
-	pool    *routing.Pool
+	// config is what table was built from.
+	config config.Config
+	owners []*testOwner
+	pool   *routing.Pool
 	// timeout is that of the routes.
 	timeout time.Duration
 	// ingressDependencies are those that ingress was built from.
@@ -53,6 +55,8 @@
 	observed *failureCounter
 	// accepted counts the connections from ingresses.
 	accepted *atomic.Int64
+	// table is that of the owner's node; nil unless a test sets it.
+	table *atomic.Pointer[routing.Table]
 	// buffers bounds the bodies that the owner keeps.
 	buffers *call.BufferBudget
 	*call.Owner
@@ -107,6 +111,7 @@
 	assert.Equal(t, len(config.Check(c)), 0)
 	toOwners := call.NewForwardTransport()
 	t.Cleanup(toOwners.CloseIdleConnections)
+	cluster.config = c
 	cluster.table = routing.NewTable(c, nil, rand.New(rand.NewPCG(1, 1)))
 	cluster.ingressDependencies = call.IngressDependencies{
 		Routes:           routes{cluster.table},
@@ -202,7 +207,7 @@
 // newTestOwnerWith starts an owner with the given dialect.
 func newTestOwnerWith(t testing.TB, id membership.NodeID, upstream netip.AddrPort, dialect call.Dialect, allowCloseDelimited bool) *testOwner {
 	t.Helper()
-	o := &testOwner{gate: admission.New(admission.DefaultLimits(_testSlots)), crashes: crash.New(string(id)), observed: &failureCounter{}, accepted: new(atomic.Int64), buffers: newTestBudget(t)}
+	o := &testOwner{gate: admission.New(admission.DefaultLimits(_testSlots)), crashes: crash.New(string(id)), observed: &failureCounter{}, accepted: new(atomic.Int64), table: new(atomic.Pointer[routing.Table]), buffers: newTestBudget(t)}
 	o.member = membership.Member{
 		ID: id, Incarnation: 1, State: membership.Serving, Zone: "a", Region: "r",
 		Service: "s", Version: "v1", Slots: _testSlots,
@@ -211,6 +216,7 @@
 	t.Cleanup(toUpstream.CloseIdleConnections)
 	o.Owner = call.NewOwner(call.OwnerDependencies{
 		Self:                func() membership.Member { return o.member },
+		Table:               o.table.Load,
 		Upstream:            upstream,
 		Transport:           toUpstream,
 		Dialect:             dialect,
--- a/call/forward.go
+++ b/call/forward.go
@@ -51,7 +51,8 @@
 	// rank is the workspace's priority, before that of the route; 0 is the
 	// highest.
 	rank uint32
-	// key is the hash of the key by which the ingress found the workspace.
+	// key is the hash of the call's key; zero on a public route, which needs
+	// none.
 	key config.KeyHash
 	// revision is the number of the configuration in which it found it.
 	revision uint64
@@ -91,8 +92,11 @@
 	if w.name == "" {
 		return ""
 	}
-	return " " + url.QueryEscape(string(w.name)) + " " + strconv.FormatUint(uint64(w.rank), 10) + " " +
-		base64.RawURLEncoding.EncodeToString(w.key[:]) + " " + strconv.FormatUint(w.revision, 10)
+	key := _emptyField
+	if w.key != (config.KeyHash{}) {
+		key = base64.RawURLEncoding.EncodeToString(w.key[:])
+	}
+	return " " + url.QueryEscape(string(w.name)) + " " + strconv.FormatUint(uint64(w.rank), 10) + " " + key + " " + strconv.FormatUint(w.revision, 10)
 }
 
 // parseWorkspaceRef parses the fields that workspaceRef.fields returns.
@@ -105,12 +109,20 @@
 	if err != nil {
 		return workspaceRef{}, errors.Wrap(err, headerCall)
 	}
+	revision, err := strconv.ParseUint(fields[3], 10, 64)
+	if err != nil {
+		return workspaceRef{}, errors.Wrap(err, headerCall)
+	}
+	w := workspaceRef{name: config.WorkspaceName(name), rank: uint32(rank), revision: revision}
+	if fields[2] == _emptyField {
+		return w, nil
+	}
 	key, err := base64.RawURLEncoding.DecodeString(fields[2])
-	if err != nil || len(key) != len(config.KeyHash{}) {
+	if err != nil || len(key) != len(w.key) {
 		return workspaceRef{}, errors.Newf("%s has a malformed hash", headerCall)
 	}
-	revision, err := strconv.ParseUint(fields[3], 10, 64)
-	return workspaceRef{name: config.WorkspaceName(name), rank: uint32(rank), key: config.KeyHash(key), revision: revision}, errors.Wrap(err, headerCall)
+	w.key = config.KeyHash(key)
+	return w, nil
 }
 
 // parseForwardedCall parses the value of headerCall. Ingresses of earlier builds
--- a/call/ingress.go
+++ b/call/ingress.go
@@ -256,13 +256,23 @@
 	if table == nil {
 		return acceptedCall{}, ReasonNoConfig
 	}
+	target, ok := table.Match(r.Host, r.URL.Path)
+	var workspace workspaceRef
+	if table.HasWorkspaces() {
+		if !ok {
+			return acceptedCall{}, ReasonNoRoute
+		}
+		var reason Reason
+		if workspace, reason = i.identify(table, target.Route, r.Header); reason != "" {
+			return acceptedCall{}, reason
+		}
+	}
 	if isUpgrade(r) {
 		return acceptedCall{}, ReasonUpgradeUnsupported
 	}
 	if reason := exceededLimit(table.Limits, r); reason != "" {
 		return acceptedCall{}, reason
 	}
-	target, ok := table.Match(r.Host, r.URL.Path)
 	if !ok {
 		return acceptedCall{}, ReasonNoRoute
 	}
@@ -286,7 +296,30 @@
 	if depth >= MaxDepth {
 		return acceptedCall{}, ReasonTooDeep
 	}
-	return acceptedCall{target: target, remaining: remaining, callerRemaining: callerRemaining, waited: waited, depth: depth, maxBodyBytes: table.Limits.BodyBytes}, ""
+	return acceptedCall{
+		target: target, remaining: remaining, callerRemaining: callerRemaining, waited: waited, depth: depth,
+		workspace: workspace, hasWorkspaces: table.HasWorkspaces(), maxBodyBytes: table.Limits.BodyBytes,
+	}, ""
+}
+
+// identify finds the workspace of a call by its key. The reason is empty if the
+// call may go on: it has a known key, or its route is public.
+func (i *Ingress) identify(table *routing.Table, route *config.Route, h http.Header) (workspaceRef, Reason) {
+	key := i.deps.Dialect.Key(h)
+	hash := config.HashKey(key)
+	workspace, ok := table.WorkspaceOf(hash)
+	switch {
+	case ok && route.Public:
+		return workspaceRef{name: workspace.Name, rank: workspace.Rank, revision: table.Revision}, ""
+	case ok:
+		return workspaceRef{name: workspace.Name, rank: workspace.Rank, revision: table.Revision, key: hash}, ""
+	case route.Public:
+		return workspaceRef{}, ""
+	case key == "":
+		return workspaceRef{}, ReasonMissingKey
+	default:
+		return workspaceRef{}, ReasonUnknownKey
+	}
 }
 
 // takeAllotment takes one call from the allotment of the call's workspace, if it
--- a/call/owner.go
+++ b/call/owner.go
@@ -18,6 +18,7 @@
 	"lentilferry.example/lentilferry/evidence"
 	"lentilferry.example/lentilferry/identity"
 	"lentilferry.example/lentilferry/membership"
+	"lentilferry.example/lentilferry/routing"
 	"lentilferry.example/lentilferry/upstream"
 )
 
@@ -44,6 +45,10 @@
 type OwnerDependencies struct {
 	// Self returns this node's member record.
 	Self func() membership.Member
+	// Table returns the routes in force, by which the keys of waiting calls are
+	// checked again; nil if there are none. The function is nil where keys aren't
+	// checked again.
+	Table func() *routing.Table
 	// Upstream is the address that the node's upstream listens on.
 	Upstream netip.AddrPort
 	// Process is nil where calls go to whatever process listens on Upstream.
@@ -187,6 +192,8 @@
 		return nil, o.notRun(ReasonDeadline)
 	case c.forwarded.owner != o.deps.Self().Instance():
 		return nil, o.notRun(ReasonWrongOwner)
+	case c.isKeyWithdrawn():
+		return nil, o.notRun(ReasonKeyWithdrawn)
 	}
 	if result := c.claimIdentity(); result.Outcome != Answered {
 		return nil, result
@@ -202,7 +209,12 @@
 		}
 		return nil, result
 	}
-	// The process may have stopped taking calls while this one waited.
+	// The key may have been withdrawn, and the process may have stopped taking
+	// calls, while this one waited.
+	if c.isKeyWithdrawn() {
+		o.deps.Gate.Release(o.deps.Now(), ticket, admission.NotRun)
+		return nil, o.notRun(ReasonKeyWithdrawn)
+	}
 	if !c.resolveProcess() {
 		o.deps.Gate.Release(o.deps.Now(), ticket, admission.NotRun)
 		return nil, o.notRun(ReasonNoUpstream)
@@ -214,6 +226,21 @@
 	return c.sendToUpstream(ctx, ticket)
 }
 
+// isKeyWithdrawn reports whether the configuration in force is newer than that of
+// the ingress, and its workspaces no longer include that of the call's key.
+func (c *ownerCall) isKeyWithdrawn() bool {
+	w := c.forwarded.workspace
+	if w.key == (config.KeyHash{}) || c.owner.deps.Table == nil {
+		return false
+	}
+	table := c.owner.deps.Table()
+	if table == nil || table.Revision <= w.revision || !table.HasWorkspaces() {
+		return false
+	}
+	current, ok := table.WorkspaceOf(w.key)
+	return !ok || current.Name != w.name
+}
+
 // resolveProcess sets the process that the call is for. It returns false when
 // no process takes calls.
 func (c *ownerCall) resolveProcess() bool {
@@ -426,9 +453,7 @@
 		// Unexpected: the depth comes from the forwarding node. Goes on with 0.
 		o.deps.Logger.Info("Invalid call depth", "call", c.forwarded.id, "cause", err.Error())
 	}
-	if name := c.forwarded.workspace.name; name != "" {
-		o.deps.Dialect.SetWorkspace(out.Header, name)
-	}
+	c.setWorkspace(out.Header)
 	o.deps.Dialect.SetUpstreamHeaders(out.Header, UpstreamHeaders{
 		Remaining:     c.deadline.Sub(o.deps.Now()),
 		Process:       c.process,
@@ -438,6 +463,22 @@
 	return out
 }
 
+// setWorkspace tells the upstream the call's workspace. Where this node has
+// workspaces, it removes what the caller sent also if the ingress, whose
+// configuration may be older or which may run an earlier build, has passed it on.
+func (c *ownerCall) setWorkspace(h http.Header) {
+	dialect, name := c.owner.deps.Dialect, c.forwarded.workspace.name
+	hasWorkspaces := name != ""
+	if c.owner.deps.Table != nil {
+		table := c.owner.deps.Table()
+		hasWorkspaces = hasWorkspaces || table != nil && table.HasWorkspaces()
+	}
+	if hasWorkspaces {
+		dialect.RemoveKey(h)
+		dialect.SetWorkspace(h, name)
+	}
+}
+
 // preventTransportRetry returns a body with which http.Transport doesn't send a
 // request twice on its own. The transport retries requests without a body that
 // have a safe method or an idempotency key; these get an empty body that it
