node: Accept no withdrawn key after a restart

The first configuration with workspaces that a stale read returns is now confirmed by one more read at the full price. A node also kept the routes of an old revision after it had learned that an earlier process of it ran a newer one; it now takes them out of force and answers 503. Deployments without workspaces read as before.

--- a/internal/fakes/fakestore/fakestore.go
+++ b/internal/fakes/fakestore/fakestore.go
@@ -44,6 +44,9 @@
 	// LagBehindRestore makes serializable lists return what the store held when
 	// it was last restored, as a replica does that has not noticed yet.
 	LagBehindRestore bool
+	// StaleLists is what serializable lists return, as a replica does that lags
+	// behind; nil for the store's present content.
+	StaleLists *Copy
 }
 
 // Meta holds the name and the revision of an object.
@@ -276,6 +279,9 @@
 	if s.faults.LagBehindRestore && isSerializable(r) {
 		content = s.ended
 	}
+	if s.faults.StaleLists != nil && isSerializable(r) {
+		content = *s.faults.StaleLists
+	}
 	setEra(w, content.era)
 	items := make([]Object, 0, len(content.objects[kind]))
 	for _, o := range content.objects[kind] {
--- a/node/node.go
+++ b/node/node.go
@@ -390,6 +390,7 @@
 	n.buffers = call.NewBufferBudget(n.deps.MaxBufferedBytes)
 	n.owner = call.NewOwner(call.OwnerDependencies{
 		Self:      n.members.Self,
+		Table:     n.Table,
 		Upstream:  n.deps.Upstream.Address,
 		Process:   n.upstreamProcess(),
 		Transport: toUpstream,
--- a/node/source.go
+++ b/node/source.go
@@ -79,15 +79,16 @@
 	retryDelay.InitialInterval = _initialBackoff
 	retryDelay.MaxInterval = _maxSourceBackoff
 	failing, lastReadEmpty, hasRead := false, false, false
+	reader := sourceReader{source: n.deps.ConfigSource, holder: n.holder}
 	for ctx.Err() == nil {
 		isWatcher, allowStale := n.watcherRole()
-		if !isWatcher || hasRead && n.isStartingUp() {
+		if !reader.isUnconfirmed() && (!isWatcher || hasRead && n.isStartingUp()) {
 			lastReadEmpty = false
 			sleep(ctx, _watcherCheckInterval)
 			continue
 		}
 		start, previousRevision := n.deps.Now(), n.holder.Number()
-		snapshot, err := n.deps.ConfigSource.Next(ctx, allowStale)
+		snapshot, err := reader.next(ctx, allowStale)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -124,7 +125,7 @@
 func (n *Node) applySnapshot(snapshot *revision.Snapshot) bool {
 	result := n.holder.Offer(snapshot)
 	n.deps.Logger.Info("Configuration read", "revision", snapshot.Manifest.Number, "applied", result == revision.Applied,
-		"inForce", n.holder.Number(), "routes", len(snapshot.Config.Routes))
+		"inForce", n.holder.Number(), "routes", len(snapshot.Config.Routes), "workspaces", len(snapshot.Config.Workspaces))
 	return result == revision.Applied
 }
 
--- a/node/steps.go
+++ b/node/steps.go
@@ -98,13 +98,19 @@
 func (n *Node) refresh() {
 	now := n.deps.Now()
 	current := n.holder.Current()
-	if current == nil || current.Manifest.Number < n.members.RevisionFloor() {
+	if current == nil {
+		return
+	}
+	if floor := n.members.RevisionFloor(); current.Manifest.Number < floor {
+		n.withdrawRoutes(current.Manifest.Number, floor)
 		return
 	}
 	if n.members.Self().Revision != current.Manifest.Number || n.routes.Load() == nil {
 		n.routesSince.CompareAndSwap(nil, &now)
 		n.rndMu.Lock()
-		n.routes.Store(routing.NewTable(current.Config, n.routes.Load(), n.rnd))
+		table := routing.NewTable(current.Config, n.routes.Load(), n.rnd)
+		table.Revision = current.Manifest.Number
+		n.routes.Store(table)
 		n.rndMu.Unlock()
 		n.trackRollout(current.Config)
 		n.members.SetRevision(current.Manifest.Number)
@@ -122,6 +128,15 @@
 	}
 }
 
+// withdrawRoutes takes the routes out of force after the node has learned that an
+// earlier process of it ran a newer revision, in which a key may have been
+// withdrawn.
+func (n *Node) withdrawRoutes(revision, floor uint64) {
+	if n.routes.Swap(nil) != nil {
+		n.deps.Logger.Info("Revision taken out of force", "revision", revision, "ranBefore", floor)
+	}
+}
+
 // closeIdleCallers closes callers' connections that were idle for longer than
 // the configuration allows.
 func (n *Node) closeIdleCallers(context.Context) {
