call: Tell the owner of a workspace without further allocations

BenchmarkKeyCheck compares what a call costs without workspaces and with 10,000 keys: the checks, the headers for the next hop and what the owner is told.

--- a/call/forward.go
+++ b/call/forward.go
@@ -1,6 +1,7 @@
 package call
 
 import (
+	"cmp"
 	"context"
 	"encoding/base64"
 	"io"
@@ -73,33 +74,55 @@
 // contains a space: names have none, and Ingress.newCall replaces IDs that have
 // one.
 func (f forwardedCall) String() string {
-	sourceService := string(f.sourceService)
-	if sourceService == "" {
-		sourceService = _emptyField
-	}
-	idempotent := "0"
+	const usualBytes = 256
+	var buffer [usualBytes]byte
+	text := append(buffer[:0], f.id...)
+	text = append(text, ' ')
+	text = strconv.AppendInt(text, int64(f.attempt), 10)
+	text = appendField(text, f.owner)
+	text = appendField(text, string(f.route))
+	text = append(text, ' ')
+	text = strconv.AppendInt(text, int64(f.class), 10)
+	text = appendField(text, f.caller)
+	text = appendField(text, cmp.Or(string(f.sourceService), _emptyField))
 	if f.idempotent {
-		idempotent = "1"
-	}
-	return f.id + " " + strconv.Itoa(f.attempt) + " " + f.owner + " " + string(f.route) + " " + strconv.Itoa(int(f.class)) + " " + f.caller +
-		" " + sourceService + " " + idempotent + " " + strconv.FormatUint(uint64(f.rank), 10) + " " + strconv.FormatInt(f.usefulFor.Milliseconds(), 10) + f.workspace.fields()
+		text = appendField(text, "1")
+	} else {
+		text = appendField(text, "0")
+	}
+	text = append(text, ' ')
+	text = strconv.AppendUint(text, uint64(f.rank), 10)
+	text = append(text, ' ')
+	text = strconv.AppendInt(text, f.usefulFor.Milliseconds(), 10)
+	return string(f.workspace.appendTo(text))
+}
+
+// appendField appends a space and a field.
+func appendField(text []byte, field string) []byte {
+	return append(append(text, ' '), field...)
 }
 
-// fields returns the fields that follow those of a call without a workspace. It
-// returns none for such a call, so that the header's value is that of earlier
+// appendTo appends the fields that follow those of a call without a workspace. It
+// appends none for such a call, so that the header's value is that of earlier
 // builds.
-func (w workspaceRef) fields() string {
+func (w workspaceRef) appendTo(text []byte) []byte {
 	if w.name == "" {
-		return ""
-	}
-	key := _emptyField
-	if w.key != (config.KeyHash{}) {
-		key = base64.RawURLEncoding.EncodeToString(w.key[:])
-	}
-	return " " + url.QueryEscape(string(w.name)) + " " + strconv.FormatUint(uint64(w.rank), 10) + " " + key + " " + strconv.FormatUint(w.revision, 10)
+		return text
+	}
+	text = appendField(text, url.QueryEscape(string(w.name)))
+	text = append(text, ' ')
+	text = strconv.AppendUint(text, uint64(w.rank), 10)
+	text = append(text, ' ')
+	if w.key == (config.KeyHash{}) {
+		text = append(text, _emptyField...)
+	} else {
+		text = base64.RawURLEncoding.AppendEncode(text, w.key[:])
+	}
+	text = append(text, ' ')
+	return strconv.AppendUint(text, w.revision, 10)
 }
 
-// parseWorkspaceRef parses the fields that workspaceRef.fields returns.
+// parseWorkspaceRef parses the fields that workspaceRef.appendTo appends.
 func parseWorkspaceRef(fields []string) (workspaceRef, error) {
 	name, err := url.QueryUnescape(fields[0])
 	if err != nil {
@@ -117,11 +140,12 @@
 	if fields[2] == _emptyField {
 		return w, nil
 	}
-	key, err := base64.RawURLEncoding.DecodeString(fields[2])
-	if err != nil || len(key) != len(w.key) {
-		return workspaceRef{}, errors.Newf("%s has a malformed hash", headerCall)
+	if base64.RawURLEncoding.DecodedLen(len(fields[2])) != len(w.key) {
+		return workspaceRef{}, errors.Newf("%s has a hash of the wrong length", headerCall)
+	}
+	if _, err := base64.RawURLEncoding.Decode(w.key[:], []byte(fields[2])); err != nil {
+		return workspaceRef{}, errors.Wrap(err, headerCall)
 	}
-	w.key = config.KeyHash(key)
 	return w, nil
 }
 
--- a/call/token.go
+++ b/call/token.go
@@ -32,16 +32,17 @@
 		return ok
 	}
 	values := h[_headerAuthorization]
-	if !slices.ContainsFunc(values, isToken) {
-		return
-	}
-	// The values are shared with the request that they came from.
-	kept := slices.DeleteFunc(slices.Clone(values), isToken)
-	if len(kept) == 0 {
+	switch {
+	case !slices.ContainsFunc(values, isToken):
+	case len(values) == 1:
 		delete(h, _headerAuthorization)
-		return
+	default:
+		// The values are shared with the request that they came from.
+		h[_headerAuthorization] = slices.DeleteFunc(slices.Clone(values), isToken)
+		if len(h[_headerAuthorization]) == 0 {
+			delete(h, _headerAuthorization)
+		}
 	}
-	h[_headerAuthorization] = kept
 }
 
 // SetTokenChallenge names the scheme in which a caller has to give its key.
--- a/config/config.go
+++ b/config/config.go
@@ -163,7 +163,10 @@
 
 // HashKey returns the hash of a key.
 func HashKey(key string) KeyHash {
-	return sha256.Sum256([]byte(key))
+	// A key of the usual length stays on the stack.
+	const usualBytes = 128
+	var buffer [usualBytes]byte
+	return sha256.Sum256(append(buffer[:0], key...))
 }
 
 // Workspace is a customer's part of the callers. Its calls carry one of its
--- a/internal/capacity/capacity_bench_test.go
+++ b/internal/capacity/capacity_bench_test.go
@@ -229,24 +229,10 @@
 // BenchmarkRoutes measures building a snapshot and its routing table from a
 // configuration with many routes, and the heap that a node needs for both.
 func BenchmarkRoutes(b *testing.B) {
-	type tableWithSnapshot struct {
-		snapshot *revision.Snapshot
-		table    *routing.Table
-	}
 	for _, routes := range []int{100, 800, 2_200} {
 		b.Run(fmt.Sprint("routes=", routes), func(b *testing.B) {
-			c := config.Config{Services: []config.Service{{Name: "desk", AnyVersion: true}}}
-			for i := range routes {
-				c.Routes = append(c.Routes, config.Route{
-					Name: config.RouteName(fmt.Sprintf("route-%05d", i)), Service: "desk", Host: fmt.Sprintf("host-%d.example", i/50),
-					PathPrefix: fmt.Sprintf("/path-%05d/", i), Class: config.ClassLookup, Timeout: time.Second, Attempts: 2,
-				})
-			}
-			build := func() tableWithSnapshot {
-				s, err := revision.SnapshotAt(wire.Codec{}, 7, c, "op")
-				assert.NilError(b, err)
-				return tableWithSnapshot{snapshot: s, table: routing.NewTable(s.Config, nil, rand.New(rand.NewPCG(1, 1)))}
-			}
+			c := routesConfig(routes)
+			build := func() tableWithSnapshot { return newTableWithSnapshot(b, 7, c) }
 			_, heapBytes := heapOf(build)
 			var last tableWithSnapshot
 			for b.Loop() {
@@ -258,3 +244,67 @@
 		})
 	}
 }
+
+// BenchmarkWorkspaces measures building a snapshot and its routing table from a
+// configuration with 2,200 routes and many keys, the heap that a node needs for
+// both, and the size of the change of one workspace.
+func BenchmarkWorkspaces(b *testing.B) {
+	const keysPerWorkspace = 10
+	for _, workspaces := range []int{0, 77, 1_000} {
+		b.Run(fmt.Sprint("workspaces=", workspaces), func(b *testing.B) {
+			c := routesConfig(2_200)
+			for i := range workspaces {
+				w := config.Workspace{Name: config.WorkspaceName(fmt.Sprintf("workspace-%05d", i)), Rank: 1, Rate: 500, Burst: 500}
+				for k := range keysPerWorkspace {
+					w.KeyHashes = append(w.KeyHashes, config.HashKey(fmt.Sprint("key-", i, "-", k)))
+				}
+				c.Workspaces = append(c.Workspaces, w)
+			}
+			build := func() tableWithSnapshot { return newTableWithSnapshot(b, 7, c) }
+			before, heapBytes := heapOf(build)
+			for b.Loop() {
+				build()
+			}
+			b.ReportMetric(float64(heapBytes), "held-B")
+			if workspaces == 0 {
+				return
+			}
+			_, ok := before.table.WorkspaceOf(config.HashKey("key-7-7"))
+			assert.Assert(b, ok)
+			c.Workspaces = append([]config.Workspace(nil), c.Workspaces...)
+			c.Workspaces[7].KeyHashes = c.Workspaces[7].KeyHashes[1:]
+			h := revision.NewHolder()
+			h.Offer(before.snapshot)
+			h.Offer(newTableWithSnapshot(b, 8, c).snapshot)
+			replica := distribution.New(wire.Codec{}, h)
+			whole, _ := replica.BundleFor(0)
+			delta, _ := replica.BundleFor(7)
+			b.ReportMetric(float64(proto.Size(wire.EncodeBundle(whole))), "whole-B")
+			b.ReportMetric(float64(proto.Size(wire.EncodeBundle(delta))), "delta-B")
+		})
+	}
+}
+
+// tableWithSnapshot is a snapshot and its routing table.
+type tableWithSnapshot struct {
+	snapshot *revision.Snapshot
+	table    *routing.Table
+}
+
+func newTableWithSnapshot(b *testing.B, number uint64, c config.Config) tableWithSnapshot {
+	s, err := revision.SnapshotAt(wire.Codec{}, number, c, "op")
+	assert.NilError(b, err)
+	return tableWithSnapshot{snapshot: s, table: routing.NewTable(s.Config, nil, rand.New(rand.NewPCG(1, 1)))}
+}
+
+// routesConfig returns a configuration with many routes of one service.
+func routesConfig(routes int) config.Config {
+	c := config.Config{Services: []config.Service{{Name: "desk", AnyVersion: true}}}
+	for i := range routes {
+		c.Routes = append(c.Routes, config.Route{
+			Name: config.RouteName(fmt.Sprintf("route-%05d", i)), Service: "desk", Host: fmt.Sprintf("host-%d.example", i/50),
+			PathPrefix: fmt.Sprintf("/path-%05d/", i), Class: config.ClassLookup, Timeout: time.Second, Attempts: 2,
+		})
+	}
+	return c
+}
