--- a/call/forward.go
+++ b/call/forward.go
@@ -1,7 +1,9 @@
 package call
 
 import (
+	"cmp"
 	"context"
+	"encoding/base64"
 	"io"
 	"net/http"
 	"net/textproto"
@@ -36,13 +38,34 @@
 	idempotent bool
 	// rank is the route's priority; 0 is the highest.
 	rank uint32
+	// workspace is that of the call's key; zero for a call without one.
+	workspace workspaceRef
 	// usefulFor is the time left until the route's latency objective, or until
 	// the deadline if the route has none. Zero or less when that has passed.
 	usefulFor time.Duration
 }
 
-// _forwardedFieldCount is the number of fields in the header's value.
-const _forwardedFieldCount = 10
+// workspaceRef is what the owner is told about the workspace of a call.
+type workspaceRef struct {
+	// name is empty for a call without a workspace.
+	name config.WorkspaceName
+	// rank is the workspace's priority, before that of the route; 0 is the
+	// highest.
+	rank uint32
+	// key is the hash of the call's key; zero on a public route, which needs
+	// none.
+	key config.KeyHash
+	// revision is the number of the configuration in which it found it.
+	revision uint64
+}
+
+// _forwardedFieldCount is the number of fields in the value of the header for a
+// call without a workspace, and _workspaceFieldCount that of the fields that
+// follow them for a call with one.
+const (
+	_forwardedFieldCount = 10
+	_workspaceFieldCount = 4
+)
 
 // _emptyField stands for an empty field in the header's value.
 const _emptyField = "-"
@@ -51,23 +74,87 @@
 // contains a space: names have none, and Ingress.newCall replaces IDs that have
 // one.
 func (f forwardedCall) String() string {
-	sourceService := string(f.sourceService)
-	if sourceService == "" {
-		sourceService = _emptyField
-	}
-	idempotent := "0"
+	const usualBytes = 256
+	var buffer [usualBytes]byte
+	text := append(buffer[:0], f.id...)
+	text = append(text, ' ')
+	text = strconv.AppendInt(text, int64(f.attempt), 10)
+	text = appendField(text, f.owner)
+	text = appendField(text, string(f.route))
+	text = append(text, ' ')
+	text = strconv.AppendInt(text, int64(f.class), 10)
+	text = appendField(text, f.caller)
+	text = appendField(text, cmp.Or(string(f.sourceService), _emptyField))
 	if f.idempotent {
-		idempotent = "1"
+		text = appendField(text, "1")
+	} else {
+		text = appendField(text, "0")
 	}
-	return f.id + " " + strconv.Itoa(f.attempt) + " " + f.owner + " " + string(f.route) + " " + strconv.Itoa(int(f.class)) + " " + f.caller +
-		" " + sourceService + " " + idempotent + " " + strconv.FormatUint(uint64(f.rank), 10) + " " + strconv.FormatInt(f.usefulFor.Milliseconds(), 10)
+	text = append(text, ' ')
+	text = strconv.AppendUint(text, uint64(f.rank), 10)
+	text = append(text, ' ')
+	text = strconv.AppendInt(text, f.usefulFor.Milliseconds(), 10)
+	return string(f.workspace.appendTo(text))
 }
 
-// parseForwardedCall parses the value of headerCall. It returns an error when
-// the number of fields is wrong or a number is malformed.
+// appendField appends a space and a field.
+func appendField(text []byte, field string) []byte {
+	return append(append(text, ' '), field...)
+}
+
+// appendTo appends the fields that follow those of a call without a workspace. It
+// appends none for such a call, so that the header's value is that of earlier
+// builds.
+func (w workspaceRef) appendTo(text []byte) []byte {
+	if w.name == "" {
+		return text
+	}
+	text = appendField(text, url.QueryEscape(string(w.name)))
+	text = append(text, ' ')
+	text = strconv.AppendUint(text, uint64(w.rank), 10)
+	text = append(text, ' ')
+	if w.key == (config.KeyHash{}) {
+		text = append(text, _emptyField...)
+	} else {
+		text = base64.RawURLEncoding.AppendEncode(text, w.key[:])
+	}
+	text = append(text, ' ')
+	return strconv.AppendUint(text, w.revision, 10)
+}
+
+// parseWorkspaceRef parses the fields that workspaceRef.appendTo appends.
+func parseWorkspaceRef(fields []string) (workspaceRef, error) {
+	name, err := url.QueryUnescape(fields[0])
+	if err != nil {
+		return workspaceRef{}, errors.Wrap(err, headerCall)
+	}
+	rank, err := strconv.ParseUint(fields[1], 10, 32)
+	if err != nil {
+		return workspaceRef{}, errors.Wrap(err, headerCall)
+	}
+	revision, err := strconv.ParseUint(fields[3], 10, 64)
+	if err != nil {
+		return workspaceRef{}, errors.Wrap(err, headerCall)
+	}
+	w := workspaceRef{name: config.WorkspaceName(name), rank: uint32(rank), revision: revision}
+	if fields[2] == _emptyField {
+		return w, nil
+	}
+	if base64.RawURLEncoding.DecodedLen(len(fields[2])) != len(w.key) {
+		return workspaceRef{}, errors.Newf("%s has a hash of the wrong length", headerCall)
+	}
+	if _, err := base64.RawURLEncoding.Decode(w.key[:], []byte(fields[2])); err != nil {
+		return workspaceRef{}, errors.Wrap(err, headerCall)
+	}
+	return w, nil
+}
+
+// parseForwardedCall parses the value of headerCall. Ingresses of earlier builds
+// send no fields of the workspace. It returns an error when the number of fields
+// is wrong or a field is malformed.
 func parseForwardedCall(text string) (forwardedCall, error) {
 	fields := strings.Split(text, " ")
-	if len(fields) != _forwardedFieldCount {
+	if len(fields) != _forwardedFieldCount && len(fields) != _forwardedFieldCount+_workspaceFieldCount {
 		return forwardedCall{}, errors.Newf("%s has the wrong number of fields: %d", headerCall, len(fields))
 	}
 	var parseErr error
@@ -88,6 +175,10 @@
 	if f.caller == _emptyField {
 		f.caller = ""
 	}
+	if len(fields) > _forwardedFieldCount {
+		workspace, err := parseWorkspaceRef(fields[_forwardedFieldCount:])
+		f.workspace, parseErr = workspace, errors.CombineErrors(parseErr, err)
+	}
 	return f, parseErr
 }
 
--- a/config/config.go
+++ b/config/config.go
@@ -163,7 +163,10 @@
 
 // HashKey returns the hash of a key.
 func HashKey(key string) KeyHash {
-	return sha256.Sum256([]byte(key))
+	// A key of the usual length stays on the stack.
+	const usualBytes = 128
+	var buffer [usualBytes]byte
+	return sha256.Sum256(append(buffer[:0], key...))
 }
 
 // Workspace is a customer's part of the callers. Its calls carry one of its
@@ -217,6 +220,8 @@
 	MaxRoutes = 10_000
 	// MaxVersionsPerService is the maximum number of versions of a service.
 	MaxVersionsPerService = 16
+	// MaxWorkspaces is the maximum number of workspaces.
+	MaxWorkspaces = 10_000
 	// MaxNameBytes is the maximum length of a resource name, in bytes.
 	MaxNameBytes = 128
 )
