--- a/admission/gate.go
+++ b/admission/gate.go
@@ -110,11 +110,6 @@
 	// UsefulUntil is the time until which an answer is of full use to the
 	// caller. It may be before Deadline.
 	UsefulUntil time.Time
-	// Workspace is the workspace that the call belongs to; empty for none.
-	Workspace config.WorkspaceName
-	// WorkspaceRank is the workspace's priority, which goes before Rank; 0 is the
-	// most urgent.
-	WorkspaceRank uint32
 	// WorkspaceWeight is the workspace's part in the slots relative to those of
 	// the same rank; 0 stands for 1. Only limits that are ByCost use it.
 	WorkspaceWeight float64
