routing: Choose by expected completion where upstreams report their speed

An upstream may report how fast its VM is at the moment. Its owner keeps the newest report, learns the work of each route with that figure divided out, and passes both to the ingress in a header of its own, as nodes of earlier builds ignore a load header with further fields. The ingress then chooses by expected wait, run and distance, at random among upstreams of about equal cost. Services whose upstreams report no speed are served by the choice as before.

--- a/call/dialect.go
+++ b/call/dialect.go
@@ -33,6 +33,10 @@
 	// NamesCall reports whether a response says which call it belongs to. It
 	// returns true where upstreams don't echo call IDs.
 	NamesCall(response http.Header) bool
+	// ReportedLoad returns the load that an upstream reports in the headers of a
+	// response. It returns false if they report none, or not how fast the
+	// upstream's VM is, and an error if the report is invalid.
+	ReportedLoad(h http.Header) (upstream.Load, bool, error)
 	// IsInternal reports whether a header is removed from callers' requests.
 	IsInternal(name string) bool
 }
@@ -93,6 +97,11 @@
 // NamesCall returns true: upstreams that use this dialect echo no call ID.
 func (NativeDialect) NamesCall(http.Header) bool { return true }
 
+// ReportedLoad returns false: upstreams that use this dialect report no load.
+func (NativeDialect) ReportedLoad(http.Header) (upstream.Load, bool, error) {
+	return upstream.Load{}, false, nil
+}
+
 // IsInternal reports whether a header is one of Lentilferry's own.
 func (NativeDialect) IsInternal(name string) bool {
 	return strings.HasPrefix(name, headerPrefix)
--- a/call/ingress_call.go
+++ b/call/ingress_call.go
@@ -138,7 +138,7 @@
 		if i > 0 && versions == c.versions[0] {
 			break
 		}
-		q := routing.Query{Service: c.service.Name, Versions: versions, Objective: c.target.Route.Objective, Tried: c.tried}
+		q := routing.Query{Service: c.service.Name, Versions: versions, Route: c.target.Route.Name, Objective: c.target.Route.Objective, Tried: c.tried}
 		if endpoint, ok := c.ingress.deps.Endpoints.Choose(now, q); ok {
 			return endpoint, true
 		}
--- a/call/ingress_call_test.go
+++ b/call/ingress_call_test.go
@@ -43,3 +43,17 @@
 	assert.Equal(t, combineResults(notRun, unknown), unknown)
 	assert.Equal(t, combineResults(notRun, notRun), notRun)
 }
+
+// A report that another node sends malformed counts as none, and one with
+// further fields is read.
+func TestParseReportedLoad(t *testing.T) {
+	want := routing.ReportedLoad{
+		Running: 3, Waiting: 1, Slots: 6, Slowness: 1.5, MeanSlowness: 0.9,
+		Age: 20 * time.Millisecond, Route: "r", Work: 40 * time.Millisecond,
+	}
+	assert.Equal(t, parseReportedLoad("3 1 6 1500 900 20000 40000", "r"), want)
+	assert.Equal(t, parseReportedLoad("3 1 6 1500 900 20000 40000 7", "r"), want)
+	for _, text := range []string{"", "3 1 6", "3 1 6 1500 900 20000 x", "3 1 6 -1500 900 20000 40000", "3 1 6 1500 900 20000 99999999999999"} {
+		assert.Equal(t, parseReportedLoad(text, "r"), routing.ReportedLoad{}, text)
+	}
+}
--- a/call/ingress_result.go
+++ b/call/ingress_result.go
@@ -69,8 +69,12 @@
 	now := c.ingress.deps.Now()
 	if response != nil {
 		if load, ok := parseLoad(response.Header.Get(headerLoad)); ok {
+			load.Reported = parseReportedLoad(response.Header.Get(headerReportedLoad), c.target.Route.Name)
 			endpoint.RecordLoad(now, load)
 		}
+		if result.Outcome == Answered {
+			endpoint.RecordResponse(c.target.Route.Name, response.ContentLength)
+		}
 	}
 	switch {
 	case result.Outcome == Answered && response.StatusCode < http.StatusInternalServerError:
--- a/call/outcome.go
+++ b/call/outcome.go
@@ -126,6 +126,10 @@
 	// headerLoad is an upstream's load as its owner sees it; see
 	// Owner.loadHeader.
 	headerLoad = "Lentilferry-Load"
+	// headerReportedLoad is the load that the upstream itself reports; see
+	// Owner.reportedLoadHeader. It is a header of its own because nodes of earlier
+	// builds ignore a headerLoad with further fields.
+	headerReportedLoad = "Lentilferry-Reported-Load"
 	// headerCrash tells of the process that ended; see upstreamCrash.
 	headerCrash = "Lentilferry-Crash"
 	// headerRetryMillis is the time until the owner expects to have room for a
--- a/call/owner.go
+++ b/call/owner.go
@@ -59,6 +59,8 @@
 	AllowCloseDelimited bool
 	// Gate admits calls to the upstream's slots.
 	Gate *admission.Gate
+	// Load keeps the load that the upstream reports; nil for none.
+	Load *upstream.LoadTracker
 	// Identities detects duplicates of calls that must not run twice.
 	Identities *identity.Record
 	// Crashes decides on calls that have crashed upstreams.
@@ -87,6 +89,9 @@
 
 // NewOwner returns the owner of one upstream.
 func NewOwner(d OwnerDependencies) *Owner {
+	if d.Load == nil {
+		d.Load = upstream.NewLoadTracker()
+	}
 	return &Owner{deps: d, upstream: d.Upstream.String()}
 }
 
@@ -119,7 +124,7 @@
 	}
 	f, parseErr := parseForwardedCall(r.Header.Get(headerCall))
 	if err != nil || parseErr != nil {
-		o.writeResult(w, o.notRun(ReasonWrongOwner))
+		o.writeResult(w, o.notRun(ReasonWrongOwner), "")
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), now.Add(remaining))
@@ -139,10 +144,11 @@
 	}
 	response, result := o.handle(ctx, r, body, f, remaining)
 	if result.Outcome != Answered {
-		o.writeResult(w, result)
+		o.writeResult(w, result, f.route)
 		return
 	}
 	defer func() { _ = response.Body.Close() }()
+	o.passLoad(w.Header(), response.Header)
 	if err := copyResponse(w, response); err != nil {
 		o.deps.Metrics.count(Result{Outcome: Unknown, Reason: ReasonConnectionBroken})
 		// Aborting the connection shows the ingress that the response is
@@ -159,7 +165,7 @@
 	response, result := c.execute(ctx)
 	o.deps.Metrics.count(result)
 	if result.Outcome == Answered {
-		response.Header[headerLoad] = []string{o.loadHeader()}
+		o.setLoadHeaders(response.Header, f.route)
 	}
 	return response, result
 }
@@ -175,6 +181,9 @@
 	process upstream.ID
 	// admittedAt is when the call got its slot; zero until then.
 	admittedAt time.Time
+	// slownessAtStart is the slowness of the upstream's VM at admittedAt; 0 if
+	// unknown.
+	slownessAtStart float64
 	// body is what the request's body reads from; nil for a request without one.
 	body *replayBody
 }
@@ -304,6 +313,7 @@
 	o := c.owner
 	ending := admission.Completed
 	c.admittedAt = o.deps.Now()
+	c.slownessAtStart = o.deps.Load.Slowness(c.admittedAt)
 	releaseSlot := sync.OnceFunc(func() { o.deps.Gate.Release(o.deps.Now(), ticket, ending) })
 	var tracker writeTracker
 	response, err := o.deps.Transport.RoundTrip(c.newUpstreamRequest(tracker.withTrace(ctx)))
@@ -319,6 +329,7 @@
 	if o.deps.Process != nil {
 		o.deps.Process.ReportAnswered(o.deps.Now(), c.process)
 	}
+	RecordReportedLoad(o.deps.Now(), o.deps.Load, o.deps.Dialect, response.Header)
 	if result := c.classifyResponse(response); result.Outcome != Answered {
 		// Reads the short body, so that the connection can be reused.
 		_, _ = io.CopyN(io.Discard, response.Body, _maxRefusalBodyBytes)
@@ -336,6 +347,9 @@
 		releaseSlot()
 		return nil, result
 	}
+	if response.StatusCode < http.StatusInternalServerError {
+		o.deps.Load.RecordRun(c.admittedAt.Add(took), c.forwarded.route, took, c.slownessAtStart)
+	}
 	c.recordObservation(took, response.StatusCode >= http.StatusInternalServerError)
 	if _, buffered := response.Body.(*bufferedBody); buffered {
 		releaseSlot()
@@ -394,10 +408,10 @@
 	return Result{Outcome: NotRun, Reason: reason}
 }
 
-// writeResult responds to another node with a result other than Answered,
-// always in NativeDialect.
-func (o *Owner) writeResult(w http.ResponseWriter, result Result) {
-	w.Header()[headerLoad] = []string{o.loadHeader()}
+// writeResult responds to another node with a result other than Answered to a
+// call of the given route, always in NativeDialect.
+func (o *Owner) writeResult(w http.ResponseWriter, result Result, route config.RouteName) {
+	o.setLoadHeaders(w.Header(), route)
 	if result.Reason == ReasonUpstreamCrashed {
 		w.Header()[headerCrash] = []string{result.crash.String()}
 	}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -17,6 +17,8 @@
 	gauge("upstreamRunning", func() uint64 { return uint64(n.gate.Load().Running) })
 	gauge("upstreamWaiting", func() uint64 { return uint64(n.gate.Load().Waiting) })
 	gauge("upstreamLimit", func() uint64 { return uint64(n.gate.Load().Limit) })
+	gauge("upstreamLoadInvalid", n.upstreamLoad.InvalidCount)
+	n.metrics.Set("upstreamSlowness", expvar.Func(func() any { return n.upstreamLoad.Slowness(n.deps.Now()) }))
 	gauge("membersGone", func() uint64 { return uint64(len(n.members.Members()) - n.members.MemberCount()) })
 	gauge("ordersUnderWay", func() uint64 { return uint64(len(n.orderTable.Active())) })
 	gauge("quarantines", func() uint64 { return uint64(len(n.quarantines.All())) })
--- a/node/node.go
+++ b/node/node.go
@@ -214,6 +214,7 @@
 	// empty while it may take them.
 	exclusionReason string
 	gate            *admission.Gate
+	upstreamLoad    *upstream.LoadTracker
 	buffers         *call.BufferBudget
 	identities      *identity.Record
 	owner           *call.Owner
@@ -238,9 +239,8 @@
 	rndMu sync.Mutex
 	rnd   *rand.Rand
 
-	// upstreamTransport carries calls and health checks to the node's own
-	// upstream.
-	upstreamTransport http.RoundTripper
+	// healthTransport carries health checks to the node's own upstream.
+	healthTransport http.RoundTripper
 	// transports have their idle connections closed when the node ends.
 	transports []interface{ CloseIdleConnections() }
 
@@ -312,6 +312,7 @@
 		collector:        evidence.NewCollector(),
 		recorder:         evidence.NewRecorder(deps.Upstream.Version),
 		appliedRevisions: membership.NewAppliedRevisions(),
+		upstreamLoad:     upstream.NewLoadTracker(),
 		lifecycle:        lifecycle.New(deps.Upstream.Warmup),
 		pool:             routing.NewPool(deps.Zone, deps.Region),
 		controlTraffic:   &meter.Meter{},
@@ -383,8 +384,12 @@
 		idle = _maxIdleUpstreamConns
 	}
 	toUpstream, toPeers := call.NewUpstreamClient(idle, n.deps.Dialect), call.NewForwardTransport()
-	n.upstreamTransport = toUpstream
 	n.transports = append(n.transports, toUpstream, toPeers)
+	n.healthTransport = toUpstream
+	if n.upstreamRegistry != nil {
+		// Responses to health checks lack what marks responses to calls.
+		n.healthTransport = &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: _maxRequestHeaderBytes}
+	}
 	n.identities = identity.New(now, config.MaxTimeout, _maxIdentities)
 	n.gate = admission.New(admission.DefaultLimits(slots))
 	n.buffers = call.NewBufferBudget(n.deps.MaxBufferedBytes)
@@ -399,6 +404,7 @@
 		// connection.
 		AllowCloseDelimited: n.upstreamRegistry != nil,
 		Gate:                n.gate,
+		Load:                n.upstreamLoad,
 		Identities:          n.identities,
 		Crashes:             n.crashes,
 		Buffers:             n.buffers,
@@ -545,6 +551,9 @@
 	loop(timing.GossipInterval, n.gossip.ProbeNext)
 	loop(timing.ZoneGossipInterval, n.gossipAcrossZones)
 	loop(timing.HealthCheckInterval, n.checkUpstream)
+	if n.upstreamRegistry != nil && n.deps.Upstream.HealthPath != "" {
+		loop(timing.HealthCheckInterval, n.readUpstreamLoad)
+	}
 	group.Go(func() error { n.refreshLoop(ctx); return nil })
 	group.Go(func() error { n.sendBroadcasts(ctx); return nil })
 	loop(_idleCheckInterval, n.closeIdleCallers)
--- a/node/steps.go
+++ b/node/steps.go
@@ -10,6 +10,7 @@
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 
+	"lentilferry.example/lentilferry/call"
 	"lentilferry.example/lentilferry/config"
 	"lentilferry.example/lentilferry/control"
 	"lentilferry.example/lentilferry/evidence"
@@ -208,7 +209,7 @@
 		return errors.Wrap(err, "build health check")
 	}
 	request.Close = true
-	response, err := n.upstreamTransport.RoundTrip(request)
+	response, err := n.healthTransport.RoundTrip(request)
 	if err != nil {
 		return errors.Wrap(err, "check upstream")
 	}
@@ -216,9 +217,30 @@
 	if response.StatusCode != http.StatusOK {
 		return errors.Newf("check upstream: status %d", response.StatusCode)
 	}
+	call.RecordReportedLoad(n.deps.Now(), n.upstreamLoad, n.deps.Dialect, response.Header)
 	return nil
 }
 
+// _loadRefreshAge is how old the load of an upstream that announces itself may
+// become before its health path is asked for it. Under load, the answers to calls
+// carry newer ones.
+const _loadRefreshAge = 500 * time.Millisecond
+
+// readUpstreamLoad reads the load that an upstream which announces itself
+// reports with its health, if it has reported one before, takes calls and has
+// sent no answer for a while. Whether it succeeds has no effect on the upstream's state.
+func (n *Node) readUpstreamLoad(ctx context.Context) {
+	if !n.members.Self().State.AcceptsCalls() {
+		return
+	}
+	if report, ok := n.upstreamLoad.Newest(); !ok || n.deps.Now().Sub(report.At) < _loadRefreshAge {
+		return
+	}
+	if err := n.probeUpstream(ctx); err != nil {
+		n.deps.Logger.V(1).Info("Load of upstream not read", "cause", err.Error())
+	}
+}
+
 // reportEvidence sends this node's counts to the zone's collector. On the
 // collector, it also evaluates the zone's evidence.
 func (n *Node) reportEvidence(ctx context.Context) {
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"lentilferry.example/lentilferry/config"
 	"lentilferry.example/lentilferry/membership"
 )
 
@@ -53,6 +54,8 @@
 	// AverageDuration is how long a call runs on average; 0 if the owner did
 	// not report it.
 	AverageDuration time.Duration
+	// Reported is what the upstream itself reports.
+	Reported ReportedLoad
 }
 
 // Endpoint is an upstream as seen by one sender.
@@ -64,6 +67,10 @@
 	Instance string
 	// penalty is the cost of reaching the upstream's zone.
 	penalty time.Duration
+	// roundTrip is the time for a message to the upstream's zone and back, and
+	// bytePrice the cost of a byte from there in nanoseconds.
+	roundTrip time.Duration
+	bytePrice float64
 	*history
 }
 
@@ -76,10 +83,13 @@
 	// startedSinceReport is the number of calls this sender started since the
 	// last load report.
 	startedSinceReport atomic.Int64
+	// model is shared by the upstreams of the service.
+	model *serviceModel
 
 	mu         sync.Mutex
 	load       Load
 	reportedAt time.Time
+	estimate   estimate
 	// failureRate is the moving average share of failed calls, from 0 to 1. It
 	// counts less the longer ago the last failure was.
 	failureRate   float64
@@ -106,7 +116,11 @@
 	if reportedAt.IsZero() {
 		return "none"
 	}
-	return fmt.Sprintf("%d/%d calls of %s, %s old", load.Calls, load.Slots, load.AverageDuration, now.Sub(reportedAt).Round(time.Millisecond))
+	text := fmt.Sprintf("%d/%d calls of %s, %s old", load.Calls, load.Slots, load.AverageDuration, now.Sub(reportedAt).Round(time.Millisecond))
+	if r := load.Reported; r.Slowness > 0 {
+		text += fmt.Sprintf(", upstream %d+%d/%d at %.2f, %s older", r.Running, r.Waiting, r.Slots, r.Slowness, r.Age)
+	}
+	return text
 }
 
 // Begin counts a call to the upstream as in-flight. It must be followed by End.
@@ -127,11 +141,17 @@
 	if load.AverageDuration == 0 {
 		load.AverageDuration = h.load.AverageDuration
 	}
+	h.estimate.record(now, h.reportedAt, load, h.model)
 	h.load = load
 	h.reportedAt = now
 	h.startedSinceReport.Store(0)
 }
 
+// RecordResponse records the size of a response of a route; -1 if unknown.
+func (h *history) RecordResponse(route config.RouteName, bytes int64) {
+	h.model.recordResponse(route, bytes)
+}
+
 // RecordSuccess resets the counts of consecutive failures and ejections, and
 // lowers the failure rate.
 func (h *history) RecordSuccess() {
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -30,6 +31,7 @@
 type Query struct {
 	Service  config.ServiceName
 	Versions config.VersionSet
+	Route    config.RouteName
 	// Objective is the time within which an answer is of full use; 0 means as
 	// soon as possible.
 	Objective time.Duration
@@ -51,11 +53,13 @@
 	// endpoints holds the endpoints that accept calls, by member, so that an
 	// update keeps their state, such as loads and failures.
 	endpoints map[membership.NodeID]*Endpoint
+	// models holds what was learned of each service.
+	models map[config.ServiceName]*serviceModel
 }
 
 // NewPool returns an empty pool for a sender in the given zone and region.
 func NewPool(zone membership.Zone, region membership.Region) *Pool {
-	p := &Pool{zone: zone, region: region, endpoints: make(map[membership.NodeID]*Endpoint)}
+	p := &Pool{zone: zone, region: region, endpoints: make(map[membership.NodeID]*Endpoint), models: make(map[config.ServiceName]*serviceModel)}
 	p.view.Store(&endpointsByService{})
 	return p
 }
@@ -87,11 +91,28 @@
 	if ok && sameUpstream(known.Member, m) {
 		return known
 	}
-	learned := &history{}
-	if ok && known.Member.Incarnation == m.Incarnation && known.Member.Version == m.Version {
+	learned := &history{model: p.model(m.Service)}
+	if ok && known.Member.Incarnation == m.Incarnation && known.Member.Version == m.Version && known.Member.Service == m.Service {
 		learned = known.history
 	}
-	return &Endpoint{Member: m, Address: m.PeerAddress.String(), Instance: m.Instance(), penalty: p.penalty(m), history: learned}
+	e := &Endpoint{Member: m, Address: m.PeerAddress.String(), Instance: m.Instance(), penalty: p.penalty(m), history: learned}
+	switch e.penalty {
+	case _crossZonePenalty:
+		e.roundTrip = _zoneRoundTrip
+	case _crossRegionPenalty:
+		e.roundTrip, e.bytePrice = _regionRoundTrip, float64(_regionBytePrice)
+	}
+	return e
+}
+
+// model returns the model of a service. The caller holds p.mu.
+func (p *Pool) model(service config.ServiceName) *serviceModel {
+	m, ok := p.models[service]
+	if !ok {
+		m = newServiceModel()
+		p.models[service] = m
+	}
+	return m
 }
 
 // penalty returns the cost of reaching a member's zone.
@@ -129,10 +150,13 @@
 // there is none.
 func (p *Pool) Choose(now time.Time, q Query) (*Endpoint, bool) {
 	candidates := eligible(now, subset((*p.view.Load())[q.Service], q.Versions), q)
-	fastEnough := time.Duration(_fastEnoughShare * float64(q.Objective))
 	if len(candidates) == 0 {
 		return nil, false
 	}
+	if model := candidates[0].model; model.isReporting(now) {
+		return chooseByCompletion(now, candidates, model.expectation(q.Route), rand.Float64()), true
+	}
+	fastEnough := time.Duration(_fastEnoughShare * float64(q.Objective))
 	// A random start breaks ties between upstreams of equal cost.
 	offset := rand.IntN(len(candidates))
 	var best *Endpoint
@@ -146,6 +170,41 @@
 	return best, true
 }
 
+// _similarShare is the share of the lowest expected cost by which that of another
+// upstream may exceed it for the two to count as about equal, and
+// _minSimilar the least such difference. Senders that know the same reports
+// divide their calls among such upstreams in place of all choosing the best.
+const (
+	_similarShare = 0.05
+	_minSimilar   = 2 * time.Millisecond
+)
+
+// chooseByCompletion returns one of the upstreams with about the lowest expected
+// cost. random is a random number between 0 and 1.
+func chooseByCompletion(now time.Time, candidates []*Endpoint, x expectation, random float64) *Endpoint {
+	var buffer [64]float64
+	costs := buffer[:0]
+	lowest := math.Inf(1)
+	for _, e := range candidates {
+		cost := float64(e.expect(now, x).total())
+		lowest = min(lowest, cost)
+		costs = append(costs, cost)
+	}
+	similar := max(_similarShare*lowest, float64(_minSimilar))
+	var sum float64
+	for i, cost := range costs {
+		costs[i] = math.Exp((lowest - cost) / similar)
+		sum += costs[i]
+	}
+	point := random * sum
+	for i, weight := range costs {
+		if point -= weight; point < 0 {
+			return candidates[i]
+		}
+	}
+	return candidates[len(candidates)-1]
+}
+
 // subset returns the endpoints that receive calls if only a fraction of a
 // version's upstreams does. All senders choose the same ones.
 func subset(endpoints []*Endpoint, versions config.VersionSet) []*Endpoint {
