--- a/call/ingress_call.go
+++ b/call/ingress_call.go
@@ -49,6 +49,8 @@
 	// isTrial is set while the current attempt is a trial of a call that has
 	// crashed upstreams.
 	isTrial bool
+	// sentElsewhere is set once an owner refused the call with ReasonElsewhere.
+	sentElsewhere bool
 }
 
 // serve tries upstreams until the outcome is Answered, the call may not be
@@ -74,7 +76,7 @@
 		}
 		c.recordAttempt(result)
 		lastResult = combineResults(lastResult, result)
-		c.tried = append(c.tried, endpoint)
+		c.recordTried(endpoint, result)
 		if !c.mayRetry(ctx, result) {
 			break
 		}
@@ -146,7 +148,7 @@
 		if i > 0 && versions == c.versions[0] {
 			break
 		}
-		q := routing.Query{Service: c.service.Name, Versions: versions, Objective: c.target.Route.Objective, Tried: c.tried}
+		q := routing.Query{Service: c.service.Name, Versions: versions, Route: c.target.Route.Name, Objective: c.target.Route.Objective, Tried: c.tried}
 		if endpoint, ok := c.ingress.deps.Endpoints.Choose(now, q); ok {
 			return endpoint, true
 		}
@@ -167,6 +169,10 @@
 	if ctx.Err() != nil || !c.body.replayable() || result.Reason == ReasonCrashesUpstreams || result.Reason == ReasonKeyWithdrawn {
 		return false
 	}
+	if result.Reason == ReasonElsewhere {
+		// It has cost no upstream anything.
+		return len(c.tried) < _maxRefusals
+	}
 	if result.Outcome == Unknown && (!c.idempotent() || result.Reason == ReasonDeadline || result.Reason == ReasonCloseDelimited) {
 		return false
 	}
@@ -216,6 +222,7 @@
 		deps.Dialect.SetWorkspace(out.Header, "")
 	}
 	out.Header[HeaderDepth] = []string{strconv.Itoa(c.depth + 1)}
+	c.setAssumedWait(out.Header, endpoint)
 	remaining := c.deadline.Sub(deps.Now())
 	if deps.LocalOwner != nil && endpoint.Instance == deps.Self().Instance() {
 		response, result := deps.LocalOwner.handle(ctx, out, c.body, forwarded, remaining)
--- a/call/ingress_result.go
+++ b/call/ingress_result.go
@@ -69,14 +69,19 @@
 	now := c.ingress.deps.Now()
 	if response != nil {
 		if load, ok := parseLoad(response.Header.Get(headerLoad)); ok {
+			load.Reported = parseReportedLoad(response.Header.Get(headerReportedLoad), c.target.Route.Name)
 			endpoint.RecordLoad(now, load)
 		}
+		if result.Outcome == Answered {
+			endpoint.RecordResponse(c.target.Route.Name, response.ContentLength)
+		}
 	}
 	switch {
 	case result.Outcome == Answered && response.StatusCode < http.StatusInternalServerError:
 		endpoint.RecordSuccess()
-	case result.Outcome == NotRun && (result.Reason == Reason(admission.ReasonTooLate) || result.Reason == Reason(admission.ReasonQueueFull)),
-		result.Reason == ReasonCanceled, result.Reason == Reason(admission.ReasonAbandoned), result.Reason == ReasonCrashesUpstreams, result.Reason == ReasonKeyWithdrawn:
+	case result.Outcome == NotRun && isOverload(result.Reason),
+		result.Reason == ReasonCanceled, result.Reason == Reason(admission.ReasonAbandoned), result.Reason == ReasonCrashesUpstreams,
+		result.Reason == ReasonKeyWithdrawn, result.Reason == ReasonElsewhere:
 		// These show only that the upstream is loaded, that the caller gave up, what
 		// the call itself does or that its key was withdrawn.
 	case result.Outcome == NotRun && result.Reason != ReasonUpstreamRefused:
