--- a/admission/cost.go
+++ b/admission/cost.go
@@ -187,6 +187,8 @@
 	// work and weight are the sums over all workspaces, as of summedAt.
 	work, weight float64
 	summedAt     time.Time
+	// meanWeight is the weight of a workspace that has none of its own.
+	meanWeight float64
 }
 
 // workspaceWork is the recent work that a workspace asked for.
@@ -198,7 +200,7 @@
 }
 
 func newWorkspaceTurns() workspaceTurns {
-	return workspaceTurns{byName: make(map[config.WorkspaceName]*workspaceWork)}
+	return workspaceTurns{byName: make(map[config.WorkspaceName]*workspaceWork), meanWeight: 1}
 }
 
 // take counts a call and returns its turn: 0 if its workspace asked for no more
@@ -219,7 +221,7 @@
 	}
 	own.weight = r.WorkspaceWeight
 	if own.weight <= 0 {
-		own.weight = 1
+		own.weight = w.meanWeight
 	}
 	own.decay(now)
 	own.seconds += duration.Seconds()
@@ -245,6 +247,9 @@
 		w.work += own.seconds
 		w.weight += own.weight
 	}
+	if w.weight > 0 {
+		w.meanWeight = w.weight / float64(len(w.byName))
+	}
 }
 
 // decay reduces the work by the time passed since the last update.
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -111,7 +111,8 @@
 	// caller. It may be before Deadline.
 	UsefulUntil time.Time
 	// WorkspaceWeight is the workspace's part in the slots relative to those of
-	// the same rank; 0 stands for 1. Only limits that are ByCost use it.
+	// the same rank; 0 stands for the mean of the others. Only limits that are
+	// ByCost use it.
 	WorkspaceWeight float64
 }
 
--- a/call/ingress_call.go
+++ b/call/ingress_call.go
@@ -272,7 +272,7 @@
 	route := c.target.Route
 	usefulFor := c.deadline.Sub(c.receivedAt)
 	if route.Objective != _noObjective {
-		usefulFor = route.Objective - c.waited
+		usefulFor = route.Objective - c.elapsedBefore(endpoint)
 	}
 	return forwardedCall{
 		id:            c.id,
@@ -289,6 +289,15 @@
 	}
 }
 
+// elapsedBefore returns how long the caller is taken to have waited before this
+// attempt of its own.
+func (c *ingressCall) elapsedBefore(endpoint *routing.Endpoint) time.Duration {
+	if c.hasWorkspaces || endpoint.ReportsLoad(c.ingress.deps.Now()) {
+		return c.target.EstimateRetryElapsed(c.callerRemaining)
+	}
+	return c.waited
+}
+
 // writeResponse writes an upstream's response to the caller.
 func (c *ingressCall) writeResponse(endpoint *routing.Endpoint, response *http.Response) {
 	defer setWriteDeadline(c.writer, c.request, response, c.receivedAt.Add(c.callerRemaining))()
--- a/call/owner.go
+++ b/call/owner.go
@@ -238,6 +238,24 @@
 	return c.sendToUpstream(ctx, ticket)
 }
 
+// workspaceWeight returns the part of the call's workspace in the slots: its rate.
+// It is 0 if the workspace has none or this node doesn't know it yet.
+func (c *ownerCall) workspaceWeight() float64 {
+	w := c.forwarded.workspace
+	if w.name == "" || c.owner.deps.Table == nil {
+		return 0
+	}
+	table := c.owner.deps.Table()
+	if table == nil {
+		return 0
+	}
+	current, ok := table.WorkspaceOf(w.key)
+	if !ok {
+		return 0
+	}
+	return current.Rate
+}
+
 // isKeyWithdrawn reports whether the configuration in force is newer than that of
 // the ingress, and its workspaces no longer include that of the call's key.
 func (c *ownerCall) isKeyWithdrawn() bool {
@@ -299,6 +317,8 @@
 		Deadline:      c.deadline,
 		Workspace:     c.forwarded.workspace.name,
 		WorkspaceRank: c.forwarded.workspace.rank,
+
+		WorkspaceWeight: c.workspaceWeight(),
 		Rank:          c.forwarded.rank,
 		Route:         c.forwarded.route,
 		UsefulUntil:   c.arrivedAt.Add(c.forwarded.usefulFor),
--- a/node/announced.go
+++ b/node/announced.go
@@ -39,6 +39,17 @@
 	return result
 }
 
+// ordersByCost reports whether the calls of the upstream wait and are refused by
+// what that costs their callers: where the upstream reports how fast its VM is,
+// or the configuration has workspaces.
+func (n *Node) ordersByCost() bool {
+	if _, ok := n.upstreamLoad.Newest(); ok {
+		return true
+	}
+	table := n.Table()
+	return table != nil && table.HasWorkspaces()
+}
+
 // syncUpstreamState updates the admission gate and this node's membership
 // record from what is known of the upstream.
 func (n *Node) syncUpstreamState(now time.Time) {
@@ -64,7 +75,9 @@
 	case !allowed || state != upstream.Cold && state != upstream.Ready:
 		n.gate.Drain()
 	case !leaving:
-		n.gate.SetLimits(admission.ExactLimits(current.Slots))
+		limits := admission.ExactLimits(current.Slots)
+		limits.ByCost = n.ordersByCost()
+		n.gate.SetLimits(limits)
 		n.gate.Resume()
 	}
 	if reason != n.exclusionReason {
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -123,6 +123,11 @@
 	return text
 }
 
+// ReportsLoad reports whether the upstreams of the service report their load.
+func (h *history) ReportsLoad(now time.Time) bool {
+	return h.model.isReporting(now)
+}
+
 // Begin counts a call to the upstream as in-flight. It must be followed by End.
 func (h *history) Begin() {
 	h.inFlight.Add(1)
--- a/routing/table.go
+++ b/routing/table.go
@@ -187,6 +187,19 @@
 	}
 }
 
+// _statedSpread is the share by which the times that callers state for their
+// first attempts differ: some callers are less patient than others.
+const _statedSpread = 0.2
+
+// EstimateRetryElapsed is like EstimateElapsed, and allows for callers that are
+// less patient than others: it returns 0 unless the remaining time is so short
+// that the caller must have waited already.
+func (t *Target) EstimateRetryElapsed(remaining time.Duration) time.Duration {
+	t.EstimateElapsed(remaining)
+	least := time.Duration((1 - _statedSpread) * float64(t.longestTimeout.Load()))
+	return max(0, least-remaining)
+}
+
 // NextService returns the service that takes the next call on the route.
 func (t *Target) NextService() config.Service {
 	if len(t.backends) == 0 {
