--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -325,3 +326,13 @@
 		})
 	}
 }
+
+// Guards against first attempts of impatient callers that count as late, since
+// others stated a longer time.
+func TestImpatientCallersHaveNotWaited(t *testing.T) {
+	target := &Target{longestTimeout: new(atomic.Int64)}
+	assert.Equal(t, target.EstimateRetryElapsed(2500*time.Millisecond), time.Duration(0))
+	assert.Equal(t, target.EstimateRetryElapsed(2125*time.Millisecond), time.Duration(0))
+	assert.Equal(t, target.EstimateElapsed(2125*time.Millisecond), 375*time.Millisecond)
+	assert.Equal(t, target.EstimateRetryElapsed(1500*time.Millisecond), 500*time.Millisecond)
+}
