--- a/commands/commands_test.go
+++ b/commands/commands_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -136,6 +138,36 @@
 	f.expect(ExitOK, "pathPrefix: /", "config", "get")
 }
 
+// No command prints a key, whatever is wrong with the file that has it.
+func TestKeysAreNotPrinted(t *testing.T) {
+	const key = "very-secret-key"
+	f := newFixture(t)
+	file := func(name, workspace string) string {
+		return f.writeFile(name, _document+"workspaces:\n  - "+workspace+"\n")
+	}
+	for _, test := range []struct {
+		code int
+		text string
+		args []string
+	}{
+		{ExitOK, "added workspace acme", []string{"config", "apply", file("good.yaml", "{name: acme, keys: ["+key+"]}")}},
+		{ExitOK, hex.EncodeToString(sha256Of(key)), []string{"config", "get"}},
+		{ExitOK, "changed workspace acme", []string{"config", "diff", file("changed.yaml", "{name: acme, keys: [another-secret, "+key+"]}")}},
+		{ExitUsage, "column", []string{"config", "validate", file("bad.yaml", "{name: acme, keyz: ["+key+"]}")}},
+		{ExitUsage, "is not a SHA-256 hash", []string{"config", "validate", file("hash.yaml", "{name: acme, keyHashes: ["+key+"]}")}},
+		{ExitUsage, "contains a key of workspace", []string{"config", "apply", file("shared.yaml", "{name: acme, keys: ["+key+"]}\n  - {name: zeta, keys: ["+key+"]}")}},
+		{ExitOK, "", []string{"status"}},
+	} {
+		out := f.expect(test.code, test.text, test.args...)
+		assert.Assert(t, !strings.Contains(out, "secret"), out)
+	}
+}
+
+func sha256Of(text string) []byte {
+	hash := sha256.Sum256([]byte(text))
+	return hash[:]
+}
+
 // From the first configuration to the rollback of a rollout, each command is
 // accepted or refused according to the current state, with its exit code.
 func TestRolloutLifecycle(t *testing.T) {
--- a/node/source_reader.go
+++ b/node/source_reader.go
@@ -36,6 +36,12 @@
 		}
 		r.unconfirmed = snapshot
 	}
+	if !r.needsConfirmation(r.unconfirmed) {
+		// Other nodes have sent a configuration meanwhile.
+		snapshot := r.unconfirmed
+		r.unconfirmed = nil
+		return snapshot, nil
+	}
 	newer, err := r.source.Next(ctx, false)
 	if err != nil && !errors.Is(err, revision.ErrInvalid) {
 		return nil, err
