--- a/routing/pool.go
+++ b/routing/pool.go
@@ -95,12 +95,13 @@
 	if ok && known.Member.Incarnation == m.Incarnation && known.Member.Version == m.Version && known.Member.Service == m.Service {
 		learned = known.history
 	}
-	e := &Endpoint{Member: m, Address: m.PeerAddress.String(), Instance: m.Instance(), penalty: p.penalty(m), history: learned}
-	switch e.penalty {
-	case _crossZonePenalty:
-		e.distance = _zoneRoundTrip
-	case _crossRegionPenalty:
-		e.distance, e.bytePrice = _regionRoundTrip+_regionPrice, float64(_regionBytePrice)
+	e := &Endpoint{Member: m, Address: m.PeerAddress.String(), Instance: m.Instance(), history: learned}
+	switch {
+	case m.Zone == p.zone:
+	case m.Region == p.region:
+		e.penalty, e.distance = _crossZonePenalty, _zoneRoundTrip
+	default:
+		e.penalty, e.distance, e.bytePrice = _crossRegionPenalty, _regionRoundTrip+_regionPrice, float64(_regionBytePrice)
 	}
 	return e
 }
@@ -115,18 +116,6 @@
 	return m
 }
 
-// penalty returns the cost of reaching a member's zone.
-func (p *Pool) penalty(m membership.Member) time.Duration {
-	switch {
-	case m.Zone == p.zone:
-		return 0
-	case m.Region == p.region:
-		return _crossZonePenalty
-	default:
-		return _crossRegionPenalty
-	}
-}
-
 // sameUpstream reports whether two members are equal in all that affects the
 // choice.
 func sameUpstream(a, b membership.Member) bool {
