allotment: Limit the calls of workspaces over all nodes

A workspace's rate and burst hold over all nodes together. Each node admits calls by a fraction that the bucket holder determines from the reports of the zones, and falls back to a fixed share while it hears nothing.

--- /dev/null
+++ b/allotment/holder.go
@@ -0,0 +1,276 @@
+package allotment
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"lentilferry.example/lentilferry/config"
+)
+
+// bucket is the token bucket of a workspace.
+type bucket struct {
+	rate, burst float64
+	// level is the number of tokens left; a debt if negative.
+	level float64
+	// demand is the number of calls asked for per second, the sum of the zones.
+	demand float64
+	zones  map[string]*zoneCount
+}
+
+// zoneCount is what a zone's reports say of one workspace.
+type zoneCount struct {
+	// admitted counts the calls of the last window.
+	admitted ring
+	// asked counts the calls asked for in the report that is being received.
+	asked int64
+	// demand is the number of calls asked for per second.
+	demand float64
+}
+
+// Holder keeps the buckets of all workspaces. It is safe for concurrent use.
+type Holder struct {
+	limits Limits
+
+	mu      sync.Mutex
+	sources sources
+	buckets map[WorkspaceID]*bucket
+	// members is the number of nodes that may admit calls.
+	members int
+	// settlesAt is when the holder begins to answer; the zero value while it has
+	// heard from no collector.
+	settlesAt time.Time
+	settled   bool
+	// vouchedSince is from when on the holder knows what was admitted.
+	vouchedSince time.Time
+	// updatedAt is when the levels were updated.
+	updatedAt time.Time
+	// heardAt is when each zone was last heard.
+	heardAt map[string]time.Time
+}
+
+// NewHolder returns a holder that has heard from no collector.
+func NewHolder(limits Limits) *Holder {
+	return &Holder{limits: limits, sources: make(sources), buckets: make(map[WorkspaceID]*bucket), heardAt: make(map[string]time.Time), members: 1}
+}
+
+// SetWorkspaces sets the rates and bursts. They apply from then on; what was
+// admitted before stays counted.
+func (h *Holder) SetWorkspaces(now time.Time, workspaces []config.Workspace) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.update(now)
+	configured := make(map[WorkspaceID]bool, len(workspaces))
+	for _, w := range workspaces {
+		if w.Rate <= 0 {
+			continue
+		}
+		id := IDOf(w.Name)
+		configured[id] = true
+		b, ok := h.buckets[id]
+		if !ok {
+			b = &bucket{zones: make(map[string]*zoneCount)}
+			h.buckets[id] = b
+			if h.settled {
+				b.level = w.Rate * now.Sub(h.vouchedSince).Seconds()
+			}
+		}
+		b.rate, b.burst = w.Rate, w.Burst
+		b.level = min(b.level, h.depth(b))
+	}
+	for id := range h.buckets {
+		if !configured[id] {
+			delete(h.buckets, id)
+		}
+	}
+}
+
+// SetMembers sets the number of nodes that may admit calls, including those
+// that this node doesn't hear from.
+func (h *Holder) SetMembers(members int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.members = max(1, members)
+}
+
+// Receive takes the report of a zone. It returns false if the collector has to
+// send a full one.
+func (h *Holder) Receive(now time.Time, r Report) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.update(now)
+	zoneHeard := h.sources.hasZone(r.Zone)
+	src, counted, resend := h.sources.accept(now, r)
+	if !counted {
+		return !resend
+	}
+	if h.settlesAt.IsZero() {
+		h.settlesAt = now.Add(_settleTime)
+	}
+	elapsed := min(h.limits.Window, now.Sub(h.heardAt[r.Zone]))
+	h.heardAt[r.Zone] = now
+	reserved := time.Duration(0)
+	if !zoneHeard {
+		reserved = elapsed * time.Duration(r.Nodes) / time.Duration(max(h.members, r.Nodes))
+	}
+	for _, count := range r.Counts {
+		asked, admitted := src.take(count)
+		b, ok := h.buckets[count.Workspace]
+		if !ok {
+			continue
+		}
+		zone := b.zone(r.Zone)
+		if r.Full {
+			b.replace(now, h.limits.Window, zone, count.Recent, reserved)
+			continue
+		}
+		zone.asked += asked
+		zone.admitted.add(now, h.limits.Window, admitted)
+		b.level -= float64(admitted)
+	}
+	if !r.Full && elapsed > 0 {
+		h.updateDemand(r.Zone, elapsed)
+	}
+	return true
+}
+
+func (b *bucket) zone(name string) *zoneCount {
+	zone, ok := b.zones[name]
+	if !ok {
+		zone = &zoneCount{}
+		b.zones[name] = zone
+	}
+	return zone
+}
+
+// updateDemand updates the demand after a report of a zone, which covers the
+// given time.
+func (h *Holder) updateDemand(name string, elapsed time.Duration) {
+	weight := 1 - math.Exp(-elapsed.Seconds()/_demandTime.Seconds())
+	for _, b := range h.buckets {
+		if zone, ok := b.zones[name]; ok {
+			zone.demand += weight * (float64(zone.asked)/elapsed.Seconds() - zone.demand)
+			zone.asked = 0
+		}
+		b.demand = 0
+		for other, zone := range b.zones {
+			if h.sources.hasZone(other) {
+				b.demand += zone.demand
+			}
+		}
+	}
+}
+
+// replace takes a full count of a zone. What exceeds both the known count and
+// what the rate gives in the reserved time is charged to the bucket.
+func (b *bucket) replace(now time.Time, window time.Duration, known *zoneCount, counts []uint32, reserved time.Duration) {
+	var reported ring
+	reported.addRecent(now, window, counts)
+	excess := reported.total(now, window) - known.admitted.total(now, window)
+	if excess <= 0 {
+		return
+	}
+	known.admitted = reported
+	b.level -= max(0, float64(excess)-b.rate*reserved.Seconds())
+}
+
+// State returns which workspaces are scarce.
+func (h *Holder) State(now time.Time) State {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.update(now)
+	if !h.settled {
+		return State{}
+	}
+	st := State{Ready: true}
+	for id, b := range h.buckets {
+		if f := h.fraction(b); f < _scarceFraction {
+			st.Scarce = append(st.Scarce, Fraction{Workspace: id, Value: f})
+		}
+	}
+	return st
+}
+
+// fraction returns which part of the demand may be admitted, 0 or more. A debt
+// is repaid before calls beyond it are admitted.
+func (h *Holder) fraction(b *bucket) float64 {
+	allowed := b.rate*h.heardShare() + b.level/_repayTime.Seconds()
+	return max(0, allowed/max(b.demand, math.SmallestNonzeroFloat32))
+}
+
+// heardShare returns the share of each rate and burst that the nodes get which
+// this holder hears from. The others keep a fixed share each.
+func (h *Holder) heardShare() float64 {
+	heard, _ := h.sources.nodes(h.updatedAt, h.limits.Window)
+	return min(1, float64(heard)/float64(max(heard, h.members))*(1+_usableOverage*h.limits.Overage))
+}
+
+// depth returns how many tokens a bucket can hold.
+func (h *Holder) depth(b *bucket) float64 {
+	return (b.burst + _burstSlack*h.limits.Slack) * h.heardShare()
+}
+
+// update adds the tokens of the time that has passed.
+func (h *Holder) update(now time.Time) {
+	if !h.sources.expire(now, h.limits.Window) {
+		// Nobody takes this node for the holder.
+		h.settlesAt, h.settled = time.Time{}, false
+	}
+	elapsed := now.Sub(h.updatedAt)
+	if elapsed <= 0 {
+		return
+	}
+	h.updatedAt = now
+	h.reserveLate(now)
+	if !h.settled {
+		if !h.settlesAt.IsZero() && !now.Before(h.settlesAt) {
+			h.settle(now)
+		}
+		return
+	}
+	share := h.heardShare()
+	for _, b := range h.buckets {
+		b.level = min(h.depth(b), b.level+b.rate*share*elapsed.Seconds())
+	}
+}
+
+// reserveLate charges the fixed shares of the nodes that weren't heard for a
+// while, from when they were last heard. From then on, heardShare leaves them
+// out.
+func (h *Holder) reserveLate(now time.Time) {
+	for _, src := range h.sources {
+		silence := now.Sub(src.heardAt)
+		if src.late || src.stale || silence <= _lateAfter {
+			continue
+		}
+		src.late = true
+		part := float64(src.nodes) / float64(max(h.members, src.nodes))
+		for _, b := range h.buckets {
+			b.level -= b.rate * part * silence.Seconds()
+		}
+	}
+}
+
+// settle determines the levels from what the zones admitted in the last window.
+// Each bucket is taken as empty at the beginning of the time for which the nodes
+// have counts, so that after a restart of nodes none starts full.
+func (h *Holder) settle(now time.Time) {
+	h.settled = true
+	_, vouched := h.sources.nodes(now, h.limits.Window)
+	h.vouchedSince = now.Add(-vouched)
+	slot := h.limits.Window / _slots
+	share := h.heardShare()
+	for _, b := range h.buckets {
+		var counts [_slots]int64
+		for _, zone := range b.zones {
+			for i, n := range zone.admitted.recent(now, h.limits.Window) {
+				counts[i] += n
+			}
+		}
+		b.level = 0
+		for i := _slots - 1; i >= 0; i-- {
+			refill := min(slot, max(0, vouched-time.Duration(i)*slot))
+			b.level = min(h.depth(b), b.level+b.rate*share*refill.Seconds()-float64(counts[i]))
+		}
+	}
+}
