node: Report the calls of workspaces and apply their allotments

Adds the method ReportAllotments of the peer service, the roles of collector and holder (rendezvous hashing over a zone and over the collectors), the settings allotmentWindow, allotmentOverage and allotmentSlack, metrics and log lines. A node of an earlier build lacks the method, and its peers fall back to fixed shares. Without a workspace that has a rate, nothing is sent.

--- a/allotment/collector.go
+++ b/allotment/collector.go
@@ -22,6 +22,8 @@
 	state   State
 	// stateAt is when the holder determined the state.
 	stateAt time.Time
+	// exchangedAt is when the last report for the holder was taken.
+	exchangedAt time.Time
 }
 
 // NewCollector returns a collector that has heard from no node. The epoch is
@@ -89,11 +91,20 @@
 	return c.sources.expire(now, c.limits.Window)
 }
 
+// ExchangeDelay returns how long to wait for further reports of nodes before the
+// next exchange with the holder.
+func (c *Collector) ExchangeDelay(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return max(ExchangeInterval/4, c.exchangedAt.Add(ExchangeInterval).Sub(now))
+}
+
 // Report returns the report of the zone for the holder.
 func (c *Collector) Report(now time.Time, holder string) Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sources.expire(now, c.limits.Window)
+	c.exchangedAt = now
 	r := Report{Source: c.name, Zone: c.zone, Epoch: c.epoch}
 	r.Sequence, r.Full = c.sender.next(holder)
 	r.Nodes, r.Vouched = c.sources.nodes(now, c.limits.Window)
--- a/allotment/ledger.go
+++ b/allotment/ledger.go
@@ -1,6 +1,8 @@
 package allotment
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -231,3 +233,28 @@
 	}
 	return admitted, refused
 }
+
+// Scarce returns the fractions that may be admitted of at most n workspaces whose
+// fractions are the lowest, among those that are scarce.
+func (l *Ledger) Scarce(n int) map[config.WorkspaceName]float64 {
+	type scarce struct {
+		name     config.WorkspaceName
+		fraction float64
+	}
+	var all []scarce
+	for name, e := range *l.entries.Load() {
+		e.mu.Lock()
+		if e.fraction < _scarceFraction {
+			all = append(all, scarce{name, e.fraction})
+		}
+		e.mu.Unlock()
+	}
+	slices.SortFunc(all, func(a, b scarce) int {
+		return cmp.Or(cmp.Compare(a.fraction, b.fraction), cmp.Compare(a.name, b.name))
+	})
+	lowest := make(map[config.WorkspaceName]float64, n)
+	for _, s := range all[:min(n, len(all))] {
+		lowest[s.name] = s.fraction
+	}
+	return lowest
+}
--- a/gen/lentilferry/v1/lentilferryv1connect/peer.connect.go
+++ b/gen/lentilferry/v1/lentilferryv1connect/peer.connect.go
@@ -53,6 +53,9 @@
 	// PeerServiceListDeparturesProcedure is the fully-qualified name of the PeerService's
 	// ListDepartures RPC.
 	PeerServiceListDeparturesProcedure = "/lentilferry.v1.PeerService/ListDepartures"
+	// PeerServiceReportAllotmentsProcedure is the fully-qualified name of the PeerService's
+	// ReportAllotments RPC.
+	PeerServiceReportAllotmentsProcedure = "/lentilferry.v1.PeerService/ReportAllotments"
 )
 
 // PeerServiceClient is a client for the lentilferry.v1.PeerService service.
@@ -80,6 +83,9 @@
 	// ListDepartures returns the stored departures of the requesting node's
 	// upstream.
 	ListDepartures(context.Context, *connect.Request[v1.ListDeparturesRequest]) (*connect.Response[v1.ListDeparturesResponse], error)
+	// ReportAllotments reports the calls of workspaces, of a node to the collector
+	// of its zone or of a zone to the holder of the allotments.
+	ReportAllotments(context.Context, *connect.Request[v1.ReportAllotmentsRequest]) (*connect.Response[v1.ReportAllotmentsResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the lentilferry.v1.PeerService service. By default,
@@ -147,6 +153,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("ListDepartures")),
 			connect.WithClientOptions(opts...),
 		),
+		reportAllotments: connect.NewClient[v1.ReportAllotmentsRequest, v1.ReportAllotmentsResponse](
+			httpClient,
+			baseURL+PeerServiceReportAllotmentsProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("ReportAllotments")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -161,6 +173,7 @@
 	collect          *connect.Client[v1.CollectRequest, v1.CollectResponse]
 	recordDepartures *connect.Client[v1.RecordDeparturesRequest, v1.RecordDeparturesResponse]
 	listDepartures   *connect.Client[v1.ListDeparturesRequest, v1.ListDeparturesResponse]
+	reportAllotments *connect.Client[v1.ReportAllotmentsRequest, v1.ReportAllotmentsResponse]
 }
 
 // Exchange calls lentilferry.v1.PeerService.Exchange.
@@ -208,6 +221,11 @@
 	return c.listDepartures.CallUnary(ctx, req)
 }
 
+// ReportAllotments calls lentilferry.v1.PeerService.ReportAllotments.
+func (c *peerServiceClient) ReportAllotments(ctx context.Context, req *connect.Request[v1.ReportAllotmentsRequest]) (*connect.Response[v1.ReportAllotmentsResponse], error) {
+	return c.reportAllotments.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the lentilferry.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Exchange probes a node and exchanges state with it: members, orders,
@@ -233,6 +251,9 @@
 	// ListDepartures returns the stored departures of the requesting node's
 	// upstream.
 	ListDepartures(context.Context, *connect.Request[v1.ListDeparturesRequest]) (*connect.Response[v1.ListDeparturesResponse], error)
+	// ReportAllotments reports the calls of workspaces, of a node to the collector
+	// of its zone or of a zone to the holder of the allotments.
+	ReportAllotments(context.Context, *connect.Request[v1.ReportAllotmentsRequest]) (*connect.Response[v1.ReportAllotmentsResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -296,6 +317,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("ListDepartures")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceReportAllotmentsHandler := connect.NewUnaryHandler(
+		PeerServiceReportAllotmentsProcedure,
+		svc.ReportAllotments,
+		connect.WithSchema(peerServiceMethods.ByName("ReportAllotments")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/lentilferry.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceExchangeProcedure:
@@ -316,6 +343,8 @@
 			peerServiceRecordDeparturesHandler.ServeHTTP(w, r)
 		case PeerServiceListDeparturesProcedure:
 			peerServiceListDeparturesHandler.ServeHTTP(w, r)
+		case PeerServiceReportAllotmentsProcedure:
+			peerServiceReportAllotmentsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -360,3 +389,7 @@
 func (UnimplementedPeerServiceHandler) ListDepartures(context.Context, *connect.Request[v1.ListDeparturesRequest]) (*connect.Response[v1.ListDeparturesResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lentilferry.v1.PeerService.ListDepartures is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) ReportAllotments(context.Context, *connect.Request[v1.ReportAllotmentsRequest]) (*connect.Response[v1.ReportAllotmentsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lentilferry.v1.PeerService.ReportAllotments is not implemented"))
+}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -24,6 +24,7 @@
 	gauge("blockedCallsRefused", n.crashes.RefusedCount)
 	gauge("bufferedBytes", func() uint64 { return uint64(n.buffers.Held()) })
 	gauge("identitiesKept", func() uint64 { return uint64(n.identities.Len()) })
+	n.registerAllotmentMetrics(gauge)
 	gauge("callersClosedIdle", n.callerConns.ClosedCount)
 	gauge("requestsAtIdleClose", n.callerConns.CrossedCount)
 	gauge("goroutines", func() uint64 { return uint64(runtime.NumGoroutine()) })
@@ -48,3 +49,23 @@
 	n.metrics.Set("state", expvar.Func(func() any { return n.lifecycle.State().String() }))
 	n.metrics.Set("controllerRole", expvar.Func(func() any { return n.controller.HoldsLease() }))
 }
+
+// registerAllotmentMetrics registers the metrics of the limits of workspaces.
+func (n *Node) registerAllotmentMetrics(gauge func(string, func() uint64)) {
+	ledger := n.allotments.ledger
+	gauge("allotmentsAdmitted", func() uint64 {
+		admitted, _ := ledger.Totals()
+		return admitted
+	})
+	gauge("allotmentsRefused", func() uint64 {
+		_, refused := ledger.Totals()
+		return refused
+	})
+	gauge("allotmentStateAgeMillis", func() uint64 {
+		if !ledger.Active() {
+			return 0
+		}
+		return uint64(max(0, ledger.SinceAnswer(n.deps.Now()).Milliseconds()))
+	})
+	n.metrics.Set("allotmentsScarce", expvar.Func(func() any { return ledger.Scarce(_maxScarceListed) }))
+}
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"k8s.io/klog/v2"
 
 	"lentilferry.example/lentilferry/admission"
+	"lentilferry.example/lentilferry/allotment"
 	"lentilferry.example/lentilferry/call"
 	"lentilferry.example/lentilferry/common/meter"
 	"lentilferry.example/lentilferry/config"
@@ -167,6 +168,9 @@
 	// Retries limits the retries of each service; the zero value selects the
 	// default.
 	Retries retry.Limits
+	// Allotments limits the calls of workspaces; the zero value selects the
+	// default.
+	Allotments allotment.Limits
 	// MaxBufferedBytes bounds the bytes of calls' bodies that are kept in memory; 0
 	// selects the default.
 	MaxBufferedBytes int64
@@ -194,6 +198,7 @@
 	gossip           *peer.Gossip
 	clients          *peer.Clients
 	collector        *evidence.Collector
+	allotments       *allotments
 	recorder         *evidence.Recorder
 	appliedRevisions *membership.AppliedRevisions
 	controller       *control.Controller
@@ -299,6 +304,9 @@
 	if deps.Retries == (retry.Limits{}) {
 		deps.Retries = retry.DefaultLimits()
 	}
+	if deps.Allotments == (allotment.Limits{}) {
+		deps.Allotments = allotment.DefaultLimits()
+	}
 	if deps.MaxBufferedBytes == 0 {
 		deps.MaxBufferedBytes = _defaultMaxBufferedBytes
 	}
@@ -334,6 +342,7 @@
 	n.members = membership.New(deps.Membership, n.self(now), rand.New(rand.NewPCG(seed, 2)), now)
 	n.replica = distribution.New(wire.Codec{}, n.holder)
 	n.committer = revision.NewCommitter(deps.Platform, wire.Codec{}, n.holder)
+	n.allotments = newAllotments(deps.Allotments, n.members.Self(), now)
 	n.buildPeers()
 	n.buildCalls(now)
 	n.buildControl()
@@ -421,6 +430,7 @@
 		Crashes:          n.crashes,
 		CrashesChanged:   n.crashesChanged,
 		Buffers:          n.buffers,
+		Allotments:       n.allotments.ledger,
 		ShareSlotsFairly: n.upstreamRegistry == nil,
 		Metrics:          call.NewMetrics(n.metrics, "ingress"),
 		Logger:           n.deps.Logger,
@@ -549,6 +559,8 @@
 	group.Go(func() error { n.refreshLoop(ctx); return nil })
 	group.Go(func() error { n.sendBroadcasts(ctx); return nil })
 	loop(_idleCheckInterval, n.closeIdleCallers)
+	group.Go(func() error { n.reportAllotments(ctx); return nil })
+	group.Go(func() error { n.exchangeAllotments(ctx); return nil })
 	if n.deps.OrderStore != nil {
 		group.Go(func() error { n.watchOrders(ctx); return nil })
 		loop(_orderInterval, n.stepOrders)
--- a/node/relay.go
+++ b/node/relay.go
@@ -307,5 +307,6 @@
 			others = append(others, n.decodeRoster(object)...)
 		}
 	}
+	n.allotments.rosterSize.Store(int64(len(own) + len(others)))
 	return own, others
 }
--- a/node/servers.go
+++ b/node/servers.go
@@ -81,7 +81,7 @@
 // forwarded calls, to the call owner.
 func (n *Node) peerHandler() http.Handler {
 	path, control := lentilferryv1connect.NewPeerServiceHandler(
-		peer.NewServer(n.gossip, n.collector, n.appliedRevisions, n), peer.HandlerOptions()...)
+		peer.NewServer(n.gossip, n.collector, n.appliedRevisions, n, n), peer.HandlerOptions()...)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch {
 		case call.IsForwarded(r):
--- a/node/steps.go
+++ b/node/steps.go
@@ -105,6 +105,8 @@
 		n.withdrawRoutes(current.Manifest.Number, floor)
 		return
 	}
+	// Limits come before the routes, so that no call is admitted without them.
+	n.updateAllotments(now, current.Manifest.Number, current.Config)
 	if n.members.Self().Revision != current.Manifest.Number || n.routes.Load() == nil {
 		n.routesSince.CompareAndSwap(nil, &now)
 		n.rndMu.Lock()
--- a/peer/server.go
+++ b/peer/server.go
@@ -7,6 +7,7 @@
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 
+	"lentilferry.example/lentilferry/allotment"
 	"lentilferry.example/lentilferry/evidence"
 	lentilferryv1 "lentilferry.example/lentilferry/gen/lentilferry/v1"
 	"lentilferry.example/lentilferry/gen/lentilferry/v1/lentilferryv1connect"
@@ -21,13 +22,21 @@
 	applied   *membership.AppliedRevisions
 	// departures stores departures for nodes that the platform turns away.
 	departures DepartureLogs
+	allotments AllotmentRoles
+}
+
+// AllotmentRoles are the roles of this node in limiting the calls of workspaces.
+type AllotmentRoles interface {
+	// ReceiveAllotmentReport takes a report of a node of this zone or, with
+	// zoneTotal set, of a zone, and returns the newest state.
+	ReceiveAllotmentReport(ctx context.Context, r allotment.Report, zoneTotal bool) allotment.State
 }
 
 var _ lentilferryv1connect.PeerServiceHandler = (*Server)(nil)
 
 // NewServer returns a Server.
-func NewServer(gossip *Gossip, collector *evidence.Collector, applied *membership.AppliedRevisions, departures DepartureLogs) *Server {
-	return &Server{gossip: gossip, collector: collector, applied: applied, departures: departures}
+func NewServer(gossip *Gossip, collector *evidence.Collector, applied *membership.AppliedRevisions, departures DepartureLogs, allotments AllotmentRoles) *Server {
+	return &Server{gossip: gossip, collector: collector, applied: applied, departures: departures, allotments: allotments}
 }
 
 // Exchange exchanges state with the requesting node. It is also how that node
@@ -91,3 +100,13 @@
 	zone := s.gossip.deps.Table.Self().Zone
 	return connect.NewResponse(wire.EncodeZoneApplied(s.applied.Summarize(zone, s.gossip.deps.Table.ZoneMembers(zone)))), nil
 }
+
+// ReportAllotments takes a report of the calls of workspaces.
+func (s *Server) ReportAllotments(ctx context.Context, r *connect.Request[lentilferryv1.ReportAllotmentsRequest]) (*connect.Response[lentilferryv1.ReportAllotmentsResponse], error) {
+	report, err := wire.DecodeAllotmentReport(r.Msg)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	st := s.allotments.ReceiveAllotmentReport(ctx, report, r.Msg.GetZoneTotal())
+	return connect.NewResponse(wire.EncodeAllotmentState(st)), nil
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v4"
 
+	"lentilferry.example/lentilferry/allotment"
 	"lentilferry.example/lentilferry/common/faults"
 	"lentilferry.example/lentilferry/config"
 	"lentilferry.example/lentilferry/lease"
@@ -36,6 +37,15 @@
 // in addition to the retry ratio.
 const _maxRetrySlack = 1_000_000
 
+const (
+	// _maxAllotmentSlack is the maximum number of calls by which a workspace may
+	// exceed its allotment.
+	_maxAllotmentSlack = 1_000_000
+	// _minAllotmentWindow is the least length of the window; the tenths in which
+	// calls are counted must be longer than reports take.
+	_minAllotmentWindow = time.Second
+)
+
 // The limits of the GC percentage, which is the growth of the heap that
 // triggers a garbage collection, in percent.
 const (
@@ -84,6 +94,8 @@
 	Lease      lease.Timing
 	// Retries limits the retries to each service, over all nodes.
 	Retries retry.Limits
+	// Allotments limits the calls of workspaces, over all nodes.
+	Allotments allotment.Limits
 	// Verbosity is the log level of klog.
 	Verbosity int
 	// PrintOnly requests to print the settings and exit.
@@ -114,6 +126,7 @@
 	p := node.DefaultTiming()
 	m := membership.DefaultTiming()
 	l := lease.DefaultTiming()
+	a := allotment.DefaultLimits()
 	return []setting{
 		{name: "id", help: "name of this node, unique in the mesh; keep it when the VM is replaced"},
 		{name: "region", help: "region of this VM"},
@@ -148,6 +161,9 @@
 		{name: "retry-ratio", defaultValue: fmt.Sprint(retry.DefaultLimits().Ratio), help: "retries that all nodes together may make per call to a service"},
 		{name: "retry-slack", defaultValue: fmt.Sprint(retry.DefaultLimits().Slack), help: "retries that they may make in addition, per window"},
 		{name: "retry-window", defaultValue: retry.DefaultLimits().Window.String(), help: "length of the window in which calls and retries are counted"},
+		{name: "allotment-window", defaultValue: a.Window.String(), help: "length of the window for which the calls of a workspace are bounded"},
+		{name: "allotment-overage", defaultValue: fmt.Sprint(a.Overage), help: "fraction by which a workspace may exceed its rate and burst in a window"},
+		{name: "allotment-slack", defaultValue: fmt.Sprint(a.Slack), help: "calls by which it may exceed them in addition"},
 		{name: "verbosity", defaultValue: "0", help: "log level, from 0 to 9"},
 	}
 }
@@ -262,6 +278,11 @@
 			Slack:  r.decimal("retry-slack", 0, _maxRetrySlack),
 			Window: r.duration("retry-window"),
 		},
+		Allotments: allotment.Limits{
+			Window:  r.allotmentWindow(),
+			Overage: r.decimal("allotment-overage", 0, 1),
+			Slack:   r.decimal("allotment-slack", 0, _maxAllotmentSlack),
+		},
 		Verbosity: r.number("verbosity", 0, 9),
 	}
 	s.Timing.DrainTimeout = r.drainTimeout(s.Timing)
@@ -409,6 +430,15 @@
 	return f
 }
 
+// allotmentWindow returns the window in which the calls of workspaces are bounded.
+func (r *reader) allotmentWindow() time.Duration {
+	window := r.duration("allotment-window")
+	if window < _minAllotmentWindow {
+		r.faultf("allotment-window", "%s is too short; use %s or more", window, _minAllotmentWindow)
+	}
+	return max(window, _minAllotmentWindow)
+}
+
 // choice returns a setting that must be one of the choices.
 func (r *reader) choice(flag string, choices ...string) string {
 	text := r.text(flag)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
+	"lentilferry.example/lentilferry/allotment"
 	"lentilferry.example/lentilferry/common/faults"
 )
 
@@ -92,11 +94,13 @@
 		"{{internal-ports.0}}", "7660", "{{provider.addr}}", "10.200.1.7:8142", "{{service}}", "desk", "{{app-addr}}", "10.1.0.35:8147",
 		"{{limits.ram-mb}}", "134", "{{bounds.grace}}", "10s", "{{bounds.retry-ratio}}", "0.2", "{{bounds.retry-slack}}", "56", "{{bounds.retry-window}}", "10s",
 	).Replace(string(template))
-	assert.Assert(t, !strings.Contains(text, "{{"), text)
-	file := filepath.Join(t.TempDir(), "node.yaml")
-	assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
-	s, _, err := Load([]string{"--config", file})
-	assert.NilError(t, err)
+	// Platforms without quotas leave the sections of their fields out.
+	without := regexp.MustCompile(`{{#bounds\.quota-[a-z]+}}.*{{/bounds\.quota-[a-z]+}}`).ReplaceAllString(text, "")
+	assert.Equal(t, loadText(t, without).Allotments, allotment.DefaultLimits())
+	text = regexp.MustCompile(`{{[#/]bounds\.quota-[a-z]+}}`).ReplaceAllString(text, "")
+	text = strings.NewReplacer("{{bounds.quota-window}}", "4s", "{{bounds.quota-overage}}", "0.2", "{{bounds.quota-slack}}", "30").Replace(text)
+	s := loadText(t, text)
+	assert.Equal(t, s.Allotments, allotment.Limits{Window: 4 * time.Second, Overage: 0.2, Slack: 30})
 	assert.Assert(t, s.Hosted && s.Upstream.SelfAnnounced)
 	assert.Equal(t, s.MemoryLimit, int64(134)<<20)
 	assert.Equal(t, s.Retries.Slack, 56.0)
@@ -106,6 +110,17 @@
 	assert.Equal(t, s.Timing.LeaveNotice, 2900*time.Millisecond)
 }
 
+// loadText loads the settings of a rendered template.
+func loadText(t *testing.T, text string) Settings {
+	t.Helper()
+	assert.Assert(t, !strings.Contains(text, "{{"), text)
+	file := filepath.Join(t.TempDir(), "node.yaml")
+	assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
+	s, _, err := Load([]string{"--config", file})
+	assert.NilError(t, err)
+	return s
+}
+
 // A planned stop ends before the platform kills the process.
 func TestKillAfter(t *testing.T) {
 	for _, test := range []struct {
