pipeline: Handle pipelined idempotent requests concurrently

Callers that pipeline got their responses after the sum of the times of all requests before, since a node handles the requests of a connection one after the other. The new package takes a connection over while a response has not begun and more has arrived, handles idempotent requests concurrently and answers them in order. The setting pipelineDepth turns it on; 1, the default, leaves the call address as it was.

--- a/call/body.go
+++ b/call/body.go
@@ -160,12 +160,12 @@
 	b.sourceBytes += len(p)
 	switch {
 	case b.dropped || b.sourceBytes > _maxReplayBytes:
-		b.budget.release(reserved)
+		b.budget.Release(reserved)
 		b.drop()
 	case reserved > 0:
-		b.budget.release(reserved - len(p))
+		b.budget.Release(reserved - len(p))
 		b.buffered = append(b.buffered, p...)
-	case b.budget.reserve(len(p)):
+	case b.budget.Reserve(len(p)):
 		b.buffered = append(b.buffered, p...)
 	default:
 		b.drop()
@@ -174,7 +174,7 @@
 
 // drop stops buffering. The caller holds b.mu.
 func (b *replayBody) drop() {
-	b.budget.release(len(b.buffered))
+	b.budget.Release(len(b.buffered))
 	b.dropped, b.buffered = true, nil
 }
 
--- a/call/buffer_budget.go
+++ b/call/buffer_budget.go
@@ -19,8 +19,8 @@
 	return b.held.Load()
 }
 
-// reserve counts n more bytes and returns true if there is room for them.
-func (b *BufferBudget) reserve(n int) bool {
+// Reserve counts n more bytes and returns true if there is room for them.
+func (b *BufferBudget) Reserve(n int) bool {
 	if b == nil {
 		return true
 	}
@@ -31,8 +31,8 @@
 	return false
 }
 
-// release ends the reservation of n bytes.
-func (b *BufferBudget) release(n int) {
+// Release ends the reservation of n bytes.
+func (b *BufferBudget) Release(n int) {
 	if b != nil {
 		b.held.Add(-int64(n))
 	}
@@ -46,7 +46,7 @@
 
 // add reserves n more bytes and returns true if there is room for them.
 func (h *heldBytes) add(n int) bool {
-	if !h.budget.reserve(n) {
+	if !h.budget.Reserve(n) {
 		return false
 	}
 	h.bytes += n
@@ -55,6 +55,6 @@
 
 // release ends the reservation.
 func (h *heldBytes) release() {
-	h.budget.release(h.bytes)
+	h.budget.Release(h.bytes)
 	h.bytes = 0
 }
--- a/call/ingress.go
+++ b/call/ingress.go
@@ -120,6 +120,17 @@
 	i.inFlight.wait()
 }
 
+// IsIdempotent reports whether the call of a request may run more than once, by
+// the routes in force. It returns false for a call without a route.
+func (i *Ingress) IsIdempotent(r *http.Request) bool {
+	table := i.deps.Routes.Table()
+	if table == nil {
+		return false
+	}
+	target, ok := table.Match(r.Host, r.URL.Path)
+	return ok && isIdempotent(target.Route, r.Method)
+}
+
 // ServeHTTP handles one call from a caller.
 func (i *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if i.keepAlivesDisabled.Load() && r.ProtoMajor == 1 {
--- a/call/ingress_call.go
+++ b/call/ingress_call.go
@@ -148,8 +148,13 @@
 
 // idempotent reports whether the call may run more than once.
 func (c *ingressCall) idempotent() bool {
-	route := c.target.Route
-	return route.Idempotent || route.Class == config.ClassLookup && isSafeMethod(c.request.Method)
+	return isIdempotent(c.target.Route, c.request.Method)
+}
+
+// isIdempotent reports whether calls of the route with the method may run more
+// than once.
+func isIdempotent(route *config.Route, method string) bool {
+	return route.Idempotent || route.Class == config.ClassLookup && isSafeMethod(method)
 }
 
 // mayRetry reports whether another upstream may be tried after the given
--- a/call/read_ahead.go
+++ b/call/read_ahead.go
@@ -89,7 +89,7 @@
 	ended := b.dropped || b.sourceErr != nil
 	b.mu.Unlock()
 	// The budget is asked first: what was read and has no room would be lost.
-	if ended || room <= 0 || !b.budget.reserve(room) {
+	if ended || room <= 0 || !b.budget.Reserve(room) {
 		return false
 	}
 	_, err := b.readSource(buffer[:room], room)
--- a/lentilferryd/main.go
+++ b/lentilferryd/main.go
@@ -141,6 +141,7 @@
 		Membership:      s.Membership,
 		Lease:           s.Lease,
 		Retries:         s.Retries,
+		PipelineDepth:   s.PipelineDepth,
 		Listeners:       listeners,
 		Logger:          klog.Background().WithValues("node", s.ID),
 		Now:             time.Now,
--- a/node/caller_conns.go
+++ b/node/caller_conns.go
@@ -151,6 +151,9 @@
 	if e.inUse {
 		return false
 	}
+	if buffered, ok := conn.(interface{ Buffered() int }); ok && buffered.Buffered() > 0 {
+		return false
+	}
 	if state, err := socket.Peek(conn); err == nil && state == socket.Unread {
 		return false
 	}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -32,6 +32,12 @@
 		runtime.ReadMemStats(&m)
 		return m.HeapAlloc
 	})
+	if n.pipelines != nil {
+		gauge("connectionsPipelined", n.pipelines.TakenOverCount)
+		gauge("requestsAhead", n.pipelines.AheadCount)
+		gauge("responsesHeld", n.pipelines.HeldCount)
+		gauge("responseBytesHeld", func() uint64 { return uint64(n.pipelines.HeldBytes()) })
+	}
 	if n.departures != nil {
 		gauge("departuresUnrecorded", func() uint64 { return uint64(n.departures.PendingCount()) })
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -34,6 +34,7 @@
 	"lentilferry.example/lentilferry/move"
 	"lentilferry.example/lentilferry/objectstore"
 	"lentilferry.example/lentilferry/peer"
+	"lentilferry.example/lentilferry/pipeline"
 	"lentilferry.example/lentilferry/quarantine"
 	"lentilferry.example/lentilferry/retry"
 	"lentilferry.example/lentilferry/revision"
@@ -170,6 +171,10 @@
 	// MaxBufferedBytes bounds the bytes of calls' bodies that are kept in memory; 0
 	// selects the default.
 	MaxBufferedBytes int64
+	// PipelineDepth bounds the pipelined requests of a caller's connection that are
+	// handled concurrently, at most pipeline.MaxDepth; 0 and 1 handle them one after
+	// the other.
+	PipelineDepth int
 	// DroppedLogLines returns how many log lines have been dropped; nil if
 	// lines are never dropped.
 	DroppedLogLines func() uint64
@@ -218,10 +223,13 @@
 	identities      *identity.Record
 	owner           *call.Owner
 	ingress         *call.Ingress
-	pool            *routing.Pool
-	routes          atomic.Pointer[routing.Table]
-	metrics         *expvar.Map
-	controlTraffic  *meter.Meter
+	// pipelines handles callers' pipelined requests; nil if PipelineDepth is less
+	// than 2.
+	pipelines      *pipeline.Server
+	pool           *routing.Pool
+	routes         atomic.Pointer[routing.Table]
+	metrics        *expvar.Map
+	controlTraffic *meter.Meter
 	// lastApplied is the last report that reportApplied delivered.
 	lastApplied appliedReport
 	// reportSequence numbers this node's evidence reports.
@@ -425,6 +433,14 @@
 		Logger:           n.deps.Logger,
 		Now:              n.deps.Now,
 	})
+	if n.deps.PipelineDepth > 1 {
+		n.pipelines = pipeline.New(pipeline.Dependencies{
+			Depth:        n.deps.PipelineDepth,
+			IsIdempotent: n.ingress.IsIdempotent,
+			Budget:       n.buffers,
+			Logger:       n.deps.Logger,
+		})
+	}
 }
 
 func (n *Node) buildControl() {
--- a/node/servers.go
+++ b/node/servers.go
@@ -32,6 +32,10 @@
 	calls.BaseContext = newContext
 	calls.ConnContext = call.ConnContext
 	calls.ConnState = func(conn net.Conn, state http.ConnState) { n.callerConns.trackState(n.deps.Now(), conn, state) }
+	callListener := n.deps.Listeners.Calls
+	if n.pipelines != nil {
+		callListener = n.pipelines.Attach(calls, callListener)
+	}
 	peers := n.newServer(n.peerHandler())
 	peers.ConnState = func(conn net.Conn, state http.ConnState) { n.peerConns.trackState(n.deps.Now(), conn, state) }
 	peers.BaseContext = newContext
@@ -42,7 +46,7 @@
 	const ownSockets = 3
 	all := make([]boundServer, 0, ownSockets+len(n.deps.ExtraServers))
 	all = append(all,
-		boundServer{server: calls, listener: n.deps.Listeners.Calls},
+		boundServer{server: calls, listener: callListener},
 		boundServer{server: peers, listener: meter.Listener{Listener: n.deps.Listeners.Peers}},
 		boundServer{server: admin, listener: n.deps.Listeners.Admin},
 	)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -21,6 +21,7 @@
 	"lentilferry.example/lentilferry/lease"
 	"lentilferry.example/lentilferry/membership"
 	"lentilferry.example/lentilferry/node"
+	"lentilferry.example/lentilferry/pipeline"
 	"lentilferry.example/lentilferry/retry"
 )
 
@@ -84,6 +85,9 @@
 	Lease      lease.Timing
 	// Retries limits the retries to each service, over all nodes.
 	Retries retry.Limits
+	// PipelineDepth bounds the pipelined requests of a caller's connection that
+	// are handled concurrently.
+	PipelineDepth int
 	// Verbosity is the log level of klog.
 	Verbosity int
 	// PrintOnly requests to print the settings and exit.
@@ -148,6 +152,7 @@
 		{name: "retry-ratio", defaultValue: fmt.Sprint(retry.DefaultLimits().Ratio), help: "retries that all nodes together may make per call to a service"},
 		{name: "retry-slack", defaultValue: fmt.Sprint(retry.DefaultLimits().Slack), help: "retries that they may make in addition, per window"},
 		{name: "retry-window", defaultValue: retry.DefaultLimits().Window.String(), help: "length of the window in which calls and retries are counted"},
+		{name: "pipeline-depth", defaultValue: "1", help: "maximum number of pipelined requests of a caller's connection that are handled concurrently; 1 handles them one after the other"},
 		{name: "verbosity", defaultValue: "0", help: "log level, from 0 to 9"},
 	}
 }
@@ -262,6 +267,8 @@
 			Slack:  r.decimal("retry-slack", 0, _maxRetrySlack),
 			Window: r.duration("retry-window"),
 		},
+		PipelineDepth: r.number("pipeline-depth", 1, pipeline.MaxDepth),
+
 		Verbosity: r.number("verbosity", 0, 9),
 	}
 	s.Timing.DrainTimeout = r.drainTimeout(s.Timing)
