pipeline: Notice callers that leave behind unread requests

The connection of a caller that had sent more than is read ahead was noticed as closed only with the next write. The socket is asked instead. Bodies are no longer searched for ends of header sections, which let a body of 4 MB of CR LF be read in parts of four bytes.

--- a/common/socket/socket.go
+++ b/common/socket/socket.go
@@ -44,6 +44,22 @@
 	return state, errors.Wrap(err, "peek at socket")
 }
 
+// HasPeerClosed reports whether the peer has closed or reset the connection, also
+// while received bytes are unread.
+func HasPeerClosed(conn net.Conn) bool {
+	raw, err := rawConn(conn)
+	if err != nil {
+		return false
+	}
+	hasClosed := false
+	err = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, pollErr := unix.Poll(fds, 0)
+		hasClosed = pollErr == nil && n > 0
+	})
+	return err == nil && hasClosed
+}
+
 // LimitUnsent bounds the bytes that the kernel holds of a connection whose peer
 // doesn't read. One that reads is not slowed down. The error says that the
 // connection is closed, is no socket or can't be bounded.
--- a/common/socket/socket_test.go
+++ b/common/socket/socket_test.go
@@ -59,6 +59,23 @@
 	assert.ErrorContains(t, err, "no socket")
 }
 
+// A peer that has closed is noticed behind unread bytes.
+func TestHasPeerClosed(t *testing.T) {
+	near, far := connect(t)
+	_, err := io.WriteString(far, "x")
+	assert.NilError(t, err)
+	awaitState(t, near, socket.Unread)
+	assert.Check(t, !socket.HasPeerClosed(near))
+	assert.NilError(t, far.Close())
+	for range 1000 {
+		if socket.HasPeerClosed(near) {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("the end was not noticed")
+}
+
 // A read that waits for data doesn't delay Peek.
 func TestPeekBesidePendingRead(t *testing.T) {
 	near, far := connect(t)
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -39,10 +39,12 @@
 	// tailBytes is the memory of tail.
 	tailBytes [2 * _headTailBytes]byte
 	// atHeadEnd is set while what Read has returned ends with a header section or
-	// with the body that expectBody announced.
+	// with a body of known length.
 	atHeadEnd bool
-	// bodyBytes is how many bytes belong to the body that expectBody announced.
-	bodyBytes int
+	// bodyBytes is how many bytes belong to a body of known length. isStream is set
+	// during a body of unknown length. Bodies aren't searched for header sections.
+	bodyBytes int64
+	isStream  bool
 	// hasBegun is set by the first bytes.
 	hasBegun bool
 	// isHTTP2 is set for a connection with the preface of HTTP/2, whose data is
@@ -94,11 +96,15 @@
 		c.onMore = nil
 	}
 	if c.bodyBytes > 0 {
-		n := min(len(p), c.bodyBytes)
-		c.bodyBytes -= n
+		n := int(min(int64(len(p)), c.bodyBytes))
+		c.bodyBytes -= int64(n)
 		c.atHeadEnd = c.bodyBytes == 0
 		return n
 	}
+	if c.isStream {
+		c.atHeadEnd, c.tail = false, c.tailBytes[:0]
+		return len(p)
+	}
 	n, found := c.findHeadEnd(p)
 	c.atHeadEnd = found
 	c.updateTail(p[:n], found)
@@ -147,10 +153,31 @@
 	if !c.atHeadEnd || int64(len(c.unread)) < n {
 		return false
 	}
-	c.bodyBytes = int(n)
+	c.bodyBytes = n
 	return true
 }
 
+// passBody announces a body of n bytes, -1 if unknown, behind the header section
+// that Read has returned last. One of unknown length lasts until endStream.
+func (c *Conn) passBody(n int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case n < 0:
+		c.isStream = true
+	case c.atHeadEnd:
+		c.bodyBytes = n
+	}
+}
+
+// endStream ends a body of unknown length. What Read has returned may then hold
+// further requests.
+func (c *Conn) endStream() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isStream = false
+}
+
 // watch calls f in its own goroutine once more bytes were received. If there are
 // some already, watch returns false and doesn't call it.
 func (c *Conn) watch(f func()) bool {
@@ -185,7 +212,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.unread, c.tail = unread, c.tailBytes[:0]
-	c.atHeadEnd, c.hasBegun, c.bodyBytes, c.onMore = false, false, 0, nil
+	c.atHeadEnd, c.hasBegun, c.isStream, c.bodyBytes, c.onMore = false, false, false, 0, nil
 }
 
 // SyscallConn returns the socket.
--- a/pipeline/pipe.go
+++ b/pipeline/pipe.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"lentilferry.example/lentilferry/common/socket"
 )
 
 const (
@@ -21,6 +23,9 @@
 	// received bytes are unread destroys a response that is under way.
 	_closeWait  = 500 * time.Millisecond
 	_closeBytes = 256 << 10
+	// _leaveCheckInterval is the time between checks whether the caller has left
+	// while the connection is not read.
+	_leaveCheckInterval = 100 * time.Millisecond
 )
 
 // _pastDeadline is a read deadline that has passed on any clock.
@@ -49,9 +54,11 @@
 	// readEnded is set when nothing more is read.
 	readEnded bool
 
+	// changed has an element once hasChanged was set while the connection was not
+	// read.
+	changed chan struct{}
+
 	mu sync.Mutex
-	// changed is signaled with hasChanged.
-	changed *sync.Cond
 	// queue holds the responses that were not sent, in the order of requests. The
 	// first one's turn it is.
 	queue []*response
@@ -63,14 +70,12 @@
 	// isReading is set while the connection is read, and wantsPlace while a
 	// request waits for room in the queue.
 	isReading, wantsPlace bool
-	// hasChanged is set when the goroutine of the pipe has to look again.
+	// hasChanged is set by signal until the goroutine of the pipe has to look again.
 	hasChanged bool
 }
 
 func newPipe(server *Server, conn *Conn, out *bufio.Writer, in []byte) *pipe {
-	p := &pipe{server: server, conn: conn, out: out, in: in, parser: bufio.NewReader(nil)}
-	p.changed = sync.NewCond(&p.mu)
-	return p
+	return &pipe{server: server, conn: conn, out: out, in: in, parser: bufio.NewReader(nil), changed: make(chan struct{}, 1)}
 }
 
 // adopt makes the response to the first request that of the pipe.
@@ -210,22 +215,40 @@
 }
 
 // wait reads more, or waits until a response was sent where nothing may be read.
-// A caller that closes its connection is noticed as long as something is read.
+// Either notices a caller that closes its connection.
 func (p *pipe) wait() {
-	mayRead := !p.readEnded && len(p.in) < _aheadBytes
-	p.mu.Lock()
-	for !p.hasChanged && !mayRead {
-		p.changed.Wait()
+	if p.readEnded || len(p.in) >= _aheadBytes {
+		select {
+		case <-p.changed:
+		case <-time.After(_leaveCheckInterval):
+			if socket.HasPeerClosed(p.conn) {
+				p.fail()
+			}
+		}
+		return
 	}
+	if p.beginRead() {
+		p.read()
+	}
+}
+
+// beginRead makes signal interrupt the next read. It returns false if it has been
+// called since the goroutine of the pipe looked last.
+func (p *pipe) beginRead() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.hasChanged {
 		p.hasChanged = false
-		p.mu.Unlock()
-		return
+		return false
 	}
 	p.isReading = true
 	// Fails only on a closed connection, which the read notices.
 	_ = p.conn.SetReadDeadline(time.Time{})
-	p.mu.Unlock()
+	return true
+}
+
+// read reads more from the connection.
+func (p *pipe) read() {
 	if p.buffer == nil {
 		p.buffer = make([]byte, _aheadBytes)
 	}
@@ -253,9 +276,13 @@
 // signal makes the goroutine of the pipe look again. The caller holds p.mu.
 func (p *pipe) signal() {
 	p.hasChanged = true
-	p.changed.Signal()
 	if p.isReading {
 		_ = p.conn.SetReadDeadline(_pastDeadline)
+		return
+	}
+	select {
+	case p.changed <- struct{}{}:
+	default:
 	}
 }
 
--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -299,6 +299,52 @@
 	}
 }
 
+// A caller that leaves is noticed although more has arrived than is read ahead.
+func TestDisconnectBehindUnreadBytes(t *testing.T) {
+	g := newGates()
+	s := newTestServer(t, 2, g.ServeHTTP)
+	c := s.dial(t)
+	c.send(get("/1", "/2") + strings.Repeat(get("/3"), 1000))
+	g.awaitBegan(t, 2)
+	assert.NilError(t, c.Close())
+	await(t, func() bool { return g.canceled.Load() == 2 && s.closedCount() == 1 })
+	assert.Equal(t, g.began.Load(), int64(2))
+}
+
+// A long body that looks like ends of header sections is not read in parts of four
+// bytes, and what follows it is handled concurrently.
+func TestRequestsBehindLongBody(t *testing.T) {
+	body := strings.Repeat("\r\n\r\n", 1<<20)
+	for name, text := range map[string]string{
+		"length":  fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body),
+		"chunked": fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body),
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newGates()
+			var reads atomic.Int64
+			s := newTestServer(t, _testDepth, func(w http.ResponseWriter, r *http.Request) {
+				if r.Method != http.MethodPost {
+					g.ServeHTTP(w, r)
+					return
+				}
+				buffer := make([]byte, 16<<10)
+				for err := error(nil); err == nil; reads.Add(1) {
+					_, err = r.Body.Read(buffer)
+				}
+			})
+			c := s.dial(t)
+			go func() {
+				_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\n"+text+get("/1", "/2", "/3"))
+			}()
+			c.expect("")
+			g.awaitBegan(t, 3)
+			g.open("/3", "/2", "/1")
+			c.expect("/1", "/2", "/3")
+			assert.Check(t, reads.Load() < int64(len(body)/100), reads.Load())
+		})
+	}
+}
+
 // A broken response closes the connection after the responses before it, and the
 // requests behind it are canceled.
 func TestBrokenResponseClosesConnection(t *testing.T) {
--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -57,6 +57,9 @@
 func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
 	conn, ok := r.Context().Value(connKey{}).(*Conn)
 	if !ok || !isPlain(r) || !readArrivedBody(conn, r) {
+		if ok && r.ProtoMajor == 1 && r.ContentLength != 0 {
+			conn.passBody(r.ContentLength)
+		}
 		s.next.ServeHTTP(w, r)
 		return
 	}
--- a/pipeline/server.go
+++ b/pipeline/server.go
@@ -87,6 +87,9 @@
 	setState, connContext := s.setState, server.ConnContext
 	server.Handler = http.HandlerFunc(s.serveHTTP)
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		if c, ok := conn.(*Conn); ok && state == http.StateIdle {
+			c.endStream()
+		}
 		if state != http.StateHijacked {
 			setState(conn, state)
 		}
