node: Test pipelined calls through a hosted node

Hosted nodes of the tests run with the pipelineDepth of the deployment's template. A planned stop answers what was forwarded, and closes a connection only after its last response could be read.

--- a/node/hosted_integration_test.go
+++ b/node/hosted_integration_test.go
@@ -41,6 +41,9 @@
 // _drainTimeout is the longest wait for in-flight calls in a planned stop.
 const _drainTimeout = time.Second
 
+// _hostedPipelineDepth is that of the deployment's template.
+const _hostedPipelineDepth = 16
+
 // hostedCluster is a set of nodes on a fake of the users' platform.
 type hostedCluster struct {
 	t     *testing.T
@@ -154,6 +157,7 @@
 		Timing:   timing, Membership: membership.DefaultTiming(), Lease: lease.DefaultTiming(),
 		Platform: client, ConfigSource: platform.NewConfigWatcher(client, wire.Codec{}), OrderStore: platform.NewOrderStore(client, klog.Logger{}),
 		Dialect: platform.Headers{}, StoreEra: client.StoreEra, Listeners: l, Logger: klog.Logger{}, Now: time.Now,
+		PipelineDepth:   _hostedPipelineDepth,
 		OperatorHandler: func(n *node.Node) (string, http.Handler) { return operator.New(n, time.Now).Handler() },
 	})
 	n.calls = "http://" + l.Calls.Addr().String()
--- a/pipeline/pipe.go
+++ b/pipeline/pipe.go
@@ -416,10 +416,7 @@
 func (p *pipe) closeGently() {
 	if p.conn.CloseWrite() == nil {
 		_ = p.conn.SetReadDeadline(time.Now().Add(_closeWait))
-		p.server.setState(p.conn, http.StateClosed)
 		_, _ = io.CopyN(io.Discard, readerOf(p.conn.Conn), _closeBytes)
-		_ = p.conn.Close()
-		return
 	}
 	p.close()
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -100,6 +100,7 @@
 	assert.Assert(t, s.Hosted && s.Upstream.SelfAnnounced)
 	assert.Equal(t, s.MemoryLimit, int64(134)<<20)
 	assert.Equal(t, s.Retries.Slack, 56.0)
+	assert.Equal(t, s.PipelineDepth, 16)
 	// A planned stop uses most of the time that the platform grants, and ends
 	// before it is over: calls may run for 4 s after the notice of 2.9 s.
 	assert.Equal(t, s.Timing.DrainTimeout, 9100*time.Millisecond)
@@ -127,12 +128,13 @@
 }
 
 func TestHostedFaults(t *testing.T) {
-	_, _, err := Load(withValidArgs("--platform-protocol", "telegraph", "--retry-ratio", "2", "--gc-percent", "1", "--memory-limit", "1"))
+	_, _, err := Load(withValidArgs("--platform-protocol", "telegraph", "--retry-ratio", "2", "--gc-percent", "1", "--memory-limit", "1", "--pipeline-depth", "65"))
 	for _, want := range []string{
 		`platformProtocol: "telegraph" is unknown; use one of native, hosted`,
 		`retryRatio: "2" is not a number from 0 to 1`,
 		`gcPercent: "1" is not a number from 5 to 10000`,
 		`memoryLimit: "1" is not a number from 32 to 65536`,
+		`pipelineDepth: "65" is not a number from 1 to 64`,
 	} {
 		assert.ErrorContains(t, err, want)
 	}
