--- a/lentilferryd/main.go
+++ b/lentilferryd/main.go
@@ -142,6 +142,7 @@
 		Lease:           s.Lease,
 		Retries:         s.Retries,
 		Allotments:      s.Allotments,
+		PipelineDepth:   s.PipelineDepth,
 		Listeners:       listeners,
 		Logger:          klog.Background().WithValues("node", s.ID),
 		Now:             time.Now,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -22,6 +22,7 @@
 	"lentilferry.example/lentilferry/lease"
 	"lentilferry.example/lentilferry/membership"
 	"lentilferry.example/lentilferry/node"
+	"lentilferry.example/lentilferry/pipeline"
 	"lentilferry.example/lentilferry/retry"
 )
 
@@ -96,6 +97,9 @@
 	Retries retry.Limits
 	// Allotments limits the calls of workspaces, over all nodes.
 	Allotments allotment.Limits
+	// PipelineDepth bounds the pipelined requests of a caller's connection that
+	// are handled concurrently.
+	PipelineDepth int
 	// Verbosity is the log level of klog.
 	Verbosity int
 	// PrintOnly requests to print the settings and exit.
@@ -164,6 +168,7 @@
 		{name: "allotment-window", defaultValue: a.Window.String(), help: "length of the window for which the calls of a workspace are bounded"},
 		{name: "allotment-overage", defaultValue: fmt.Sprint(a.Overage), help: "fraction by which a workspace may exceed its rate and burst in a window"},
 		{name: "allotment-slack", defaultValue: fmt.Sprint(a.Slack), help: "calls by which it may exceed them in addition"},
+		{name: "pipeline-depth", defaultValue: "1", help: "maximum number of pipelined requests of a caller's connection that are handled concurrently; 1 handles them one after the other"},
 		{name: "verbosity", defaultValue: "0", help: "log level, from 0 to 9"},
 	}
 }
@@ -283,6 +288,8 @@
 			Overage: r.decimal("allotment-overage", 0, 1),
 			Slack:   r.decimal("allotment-slack", 0, _maxAllotmentSlack),
 		},
+		PipelineDepth: r.number("pipeline-depth", 1, pipeline.MaxDepth),
+
 		Verbosity: r.number("verbosity", 0, 9),
 	}
 	s.Timing.DrainTimeout = r.drainTimeout(s.Timing)
