--- a/call/owner.go
+++ b/call/owner.go
@@ -319,9 +319,9 @@
 		WorkspaceRank: c.forwarded.workspace.rank,
 
 		WorkspaceWeight: c.workspaceWeight(),
-		Rank:          c.forwarded.rank,
-		Route:         c.forwarded.route,
-		UsefulUntil:   c.arrivedAt.Add(c.forwarded.usefulFor),
+		Rank:            c.forwarded.rank,
+		Route:           c.forwarded.route,
+		UsefulUntil:     c.arrivedAt.Add(c.forwarded.usefulFor),
 	})
 	select {
 	case <-ticket.Decided():
