--- a/call/load_play_test.go
+++ b/call/load_play_test.go
@@ -346,9 +346,10 @@
 		for seed := range uint64(2) {
 			without := newPlay(playRules{rate: test.rate, slowVMs: test.slowVMs, seed: seed})
 			with := newPlay(playRules{rate: test.rate, slowVMs: test.slowVMs, seed: seed, reports: true})
-			before, after = before+(1-without.run())/2, after+(1-with.run())/2
-			t.Logf("rate %.1f, slow VMs %v: of %d calls, without reports %d in time, %d refused; with reports %d in time, %d refused, %d sent elsewhere",
-				test.rate, test.slowVMs, without.calls, without.inTime, without.refused, with.inTime, with.refused, with.sentElsewhere)
+			lateWithout, lateWith := 1-without.run(), 1-with.run()
+			before, after = before+lateWithout/2, after+lateWith/2
+			t.Logf("rate %.1f, slow VMs %v: without reports %.4f late, %d refused; with reports %.4f late, %d refused, %.3f sent elsewhere",
+				test.rate, test.slowVMs, lateWithout, without.refused, lateWith, with.refused, float64(with.sentElsewhere)/float64(with.calls))
 		}
 		assert.Assert(t, after <= test.maxLate*before, "rate %.1f, slow VMs %v: %.3f late with reports, %.3f without", test.rate, test.slowVMs, after, before)
 	}
