--- a/node/hosted_integration_test.go
+++ b/node/hosted_integration_test.go
@@ -38,6 +38,9 @@
 "vhosts":[{"host":"h.example","paths":[
 {"name":"batches","path-prefix":"/batches/","kind":"non_idempotent","timeout":"2s","target-latency":"500ms","priority":0,"service":"desk","attempts":2}%s]}]}`
 
+// _hostedHealthPath is the health path of the upstreams.
+const _hostedHealthPath = "/healthz"
+
 // _drainTimeout is the longest wait for in-flight calls in a planned stop.
 const _drainTimeout = time.Second
 
@@ -68,6 +71,10 @@
 	// failing makes the upstream fail each call, hanging makes it leave calls
 	// unanswered.
 	failing, hanging atomic.Bool
+	// load is the load that the upstream reports; nil for none.
+	load atomic.Pointer[string]
+	// healthChecks counts the requests to the upstream's health path.
+	healthChecks atomic.Int64
 	// takes is how long the upstream runs each call, in nanoseconds.
 	takes atomic.Int64
 	// ownsStoreConn reports whether the store's connection from a remote
@@ -149,7 +156,7 @@
 	}
 	n.Node = node.New(node.Dependencies{
 		ID: membership.NodeID(id), Region: "r", Zone: zone, PeerAddress: netip.MustParseAddrPort(l.Peers.Addr().String()),
-		Upstream: node.Upstream{Service: "desk", Address: address, SelfAnnounced: true},
+		Upstream: node.Upstream{Service: "desk", Address: address, HealthPath: _hostedHealthPath, SelfAnnounced: true},
 		Seeds:    c.seeds,
 		Timing:   timing, Membership: membership.DefaultTiming(), Lease: lease.DefaultTiming(),
 		Platform: client, ConfigSource: platform.NewConfigWatcher(client, wire.Codec{}), OrderStore: platform.NewOrderStore(client, klog.Logger{}),
@@ -185,6 +192,13 @@
 // serveUpstream counts a call and answers it as the upstream.
 func (n *hostedNode) serveUpstream(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Attempt-Id")
+	if load := n.load.Load(); load != nil {
+		w.Header().Set("X-Server-Load", *load)
+	}
+	if r.URL.Path == _hostedHealthPath {
+		n.healthChecks.Add(1)
+		return
+	}
 	_, _ = io.Copy(io.Discard, r.Body)
 	n.mu.Lock()
 	n.runs[id]++
