--- a/call/elsewhere.go
+++ b/call/elsewhere.go
@@ -60,6 +60,15 @@
 	}
 }
 
+// maxAttempts bounds the upstreams that are asked, also for a call that doesn't
+// reach any. One that was sent elsewhere may be tried once more.
+func (c *ingressCall) maxAttempts() int {
+	if c.sentElsewhere {
+		return _defaultMaxAttempts + _maxRefusals + 1
+	}
+	return _defaultMaxAttempts + _maxRefusals
+}
+
 // recordTried records the result of an attempt for the choice of the next
 // upstream. One that sent the call elsewhere may still be the best: its load is
 // known now.
--- a/call/ingress_call.go
+++ b/call/ingress_call.go
@@ -52,7 +52,7 @@
 // retried, or no upstream is left to try.
 func (c *ingressCall) serve(ctx context.Context) {
 	lastResult := Result{Outcome: NotRun, Reason: ReasonNoUpstream}
-	for attempt := 1; attempt <= _defaultMaxAttempts+_maxRefusals; attempt++ {
+	for attempt := 1; attempt <= c.maxAttempts(); attempt++ {
 		endpoint, ok := c.chooseEndpoint()
 		if !ok {
 			break
