--- a/call/ingress_call.go
+++ b/call/ingress_call.go
@@ -57,7 +57,7 @@
 // retried, or no upstream is left to try.
 func (c *ingressCall) serve(ctx context.Context) {
 	lastResult := Result{Outcome: NotRun, Reason: ReasonNoUpstream}
-	for attempt := 1; attempt <= _defaultMaxAttempts+_maxRefusals; attempt++ {
+	for attempt := 1; attempt <= c.maxAttempts(); attempt++ {
 		endpoint, ok := c.chooseEndpoint()
 		if !ok {
 			break
@@ -227,7 +227,7 @@
 		deps.Dialect.SetWorkspace(out.Header, "")
 	}
 	out.Header[HeaderDepth] = []string{strconv.Itoa(c.depth + 1)}
-	c.setAssumedWait(out.Header, endpoint)
+	c.setAssumedTime(out.Header, endpoint)
 	remaining := c.deadline.Sub(deps.Now())
 	if deps.LocalOwner != nil && endpoint.Instance == deps.Self().Instance() {
 		response, result := deps.LocalOwner.handle(ctx, out, c.body, forwarded, remaining)
