allotment, node: Share large zones between collectors and notice jumps sooner

A zone of more than 24 nodes has several collectors, so that none gets more than about 80 reports a second. The holder takes a jump of demand over at once if random variation doesn't explain it.

--- a/allotment/allotment.go
+++ b/allotment/allotment.go
@@ -74,8 +74,16 @@
 	// _demandTime smooths the demand. It covers the reports of all zones, so
 	// that the order in which they arrive doesn't matter.
 	_demandTime = 400 * time.Millisecond
+	// _jumpDeviations is by how many standard deviations the calls of one report
+	// have to exceed the expected number to count as a jump of demand.
+	_jumpDeviations = 3
 	// _usualTime smooths the demand at one node.
 	_usualTime = time.Second
+	// _longExchangeInterval replaces ExchangeInterval in fleets of more than
+	// _largeFleet nodes, so that the holder of 1,100 nodes gets no more than 160
+	// reports a second.
+	_longExchangeInterval = 300 * time.Millisecond
+	_largeFleet           = 500
 	// _lateAfter is how long the holder hears nothing from a zone when it reserves
 	// the fixed shares of its nodes. Reports come every 500 ms at most.
 	_lateAfter = 800 * time.Millisecond
@@ -109,7 +117,9 @@
 // counted.
 type Report struct {
 	Source string
-	Zone   string
+	// Zone is the part of the fleet that the source covers. Reports of another
+	// source for the same zone replace it.
+	Zone string
 	// Epoch identifies the counters of the source: they start at zero in each.
 	Epoch uint64
 	// Sequence grows with each report of an epoch.
--- a/allotment/collector.go
+++ b/allotment/collector.go
@@ -15,6 +15,7 @@
 	zone   string
 
 	mu      sync.Mutex
+	sole    bool
 	epoch   uint64
 	sources sources
 	sums    map[WorkspaceID]*counter
@@ -29,7 +30,7 @@
 // NewCollector returns a collector that has heard from no node. The epoch is
 // higher than those of earlier processes of this node.
 func NewCollector(limits Limits, name, zone string, epoch uint64) *Collector {
-	return &Collector{limits: limits, name: name, zone: zone, epoch: epoch, sources: make(sources), sums: make(map[WorkspaceID]*counter)}
+	return &Collector{limits: limits, name: name, zone: zone, sole: true, epoch: epoch, sources: make(sources), sums: make(map[WorkspaceID]*counter)}
 }
 
 // SetWorkspaces drops the counts of workspaces that are no longer configured.
@@ -92,11 +93,23 @@
 }
 
 // ExchangeDelay returns how long to wait for further reports of nodes before the
-// next exchange with the holder.
-func (c *Collector) ExchangeDelay(now time.Time) time.Duration {
+// next exchange with the holder, in a fleet of the given size.
+func (c *Collector) ExchangeDelay(now time.Time, nodes int) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return max(ExchangeInterval/4, c.exchangedAt.Add(ExchangeInterval).Sub(now))
+	interval := ExchangeInterval
+	if nodes > _largeFleet {
+		interval = _longExchangeInterval
+	}
+	return max(interval/4, c.exchangedAt.Add(interval).Sub(now))
+}
+
+// SetSole sets whether this is the only collector of its zone. Otherwise its
+// reports don't replace those of another collector of the zone.
+func (c *Collector) SetSole(sole bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sole = sole
 }
 
 // Report returns the report of the zone for the holder.
@@ -106,6 +119,9 @@
 	c.sources.expire(now, c.limits.Window)
 	c.exchangedAt = now
 	r := Report{Source: c.name, Zone: c.zone, Epoch: c.epoch}
+	if !c.sole {
+		r.Zone += "/" + c.name
+	}
 	r.Sequence, r.Full = c.sender.next(holder)
 	r.Nodes, r.Vouched = c.sources.nodes(now, c.limits.Window)
 	for id, sum := range c.sums {
--- a/allotment/counter.go
+++ b/allotment/counter.go
@@ -94,10 +94,10 @@
 		return nil, false, true
 	}
 	if !continued {
-		src = &source{zone: r.Zone, epoch: r.Epoch, counts: make(map[WorkspaceID]pair, len(r.Counts))}
+		src = &source{epoch: r.Epoch, counts: make(map[WorkspaceID]pair, len(r.Counts))}
 		s[r.Source] = src
 	}
-	src.sequence, src.nodes, src.heardAt = r.Sequence, r.Nodes, now
+	src.zone, src.sequence, src.nodes, src.heardAt = r.Zone, r.Sequence, r.Nodes, now
 	src.late, src.stale, src.continued = false, false, continued
 	src.vouchedSince = now.Add(-r.Vouched)
 	return src, true, false
--- a/allotment/fleet_test.go
+++ b/allotment/fleet_test.go
@@ -199,7 +199,7 @@
 		if !receiver.exchanging {
 			receiver.exchanging = true
 			p := receiver.process
-			f.after(receiver.collector.ExchangeDelay(f.now), func() { f.exchange(receiver, p) })
+			f.after(receiver.collector.ExchangeDelay(f.now, f.size), func() { f.exchange(receiver, p) })
 		}
 	})
 	failed(func() {
--- a/allotment/holder.go
+++ b/allotment/holder.go
@@ -149,8 +149,7 @@
 	weight := 1 - math.Exp(-elapsed.Seconds()/_demandTime.Seconds())
 	for _, b := range h.buckets {
 		if zone, ok := b.zones[name]; ok {
-			zone.demand += weight * (float64(zone.asked)/elapsed.Seconds() - zone.demand)
-			zone.asked = 0
+			zone.updateDemand(elapsed, weight)
 		}
 		b.demand = 0
 		for other, zone := range b.zones {
@@ -161,6 +160,17 @@
 	}
 }
 
+// updateDemand updates the demand after a report that covers the given time. A jump
+// that random variation doesn't explain is taken over at once.
+func (z *zoneCount) updateDemand(elapsed time.Duration, weight float64) {
+	expected := z.demand * elapsed.Seconds()
+	if float64(z.asked)-expected > _jumpDeviations*math.Sqrt(expected+1)+_jumpDeviations {
+		weight = 1
+	}
+	z.demand += weight * (float64(z.asked)/elapsed.Seconds() - z.demand)
+	z.asked = 0
+}
+
 // replace takes a full count of a zone. What exceeds both the known count and
 // what the rate gives in the reserved time is charged to the bucket.
 func (b *bucket) replace(now time.Time, window time.Duration, known *zoneCount, counts []uint32, reserved time.Duration) {
--- a/node/allotments.go
+++ b/node/allotments.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"lentilferry.example/lentilferry/allotment"
@@ -21,13 +22,10 @@
 	// _roleAllotmentHolder that of the collector that keeps the buckets.
 	_roleAllotments      = "allotments"
 	_roleAllotmentHolder = "allotment-holder"
-	// _allotmentCollectors is how many members of a zone a node tries as its
-	// collector.
-	_allotmentCollectors = 2
-	// _allotmentZoneSize is the number of nodes up to which a collector gets
-	// reports at the shortest intervals. In larger zones, they are longer in
-	// proportion, so that the collector of 92 nodes gets no more than 80 a second.
-	_allotmentZoneSize = 24
+	// _nodesPerCollector is the number of nodes up to which a zone has one
+	// collector. Larger zones have more, so that none gets more than about 80
+	// reports a second.
+	_nodesPerCollector = 24
 	// _urgentReportDelay is the least time between two reports.
 	_urgentReportDelay = 50 * time.Millisecond
 	// _answerMargin is how long before the end of ReportTimeout a collector
@@ -143,8 +141,6 @@
 // it due at once.
 func (n *Node) awaitAllotmentReport(ctx context.Context) {
 	interval := n.allotments.ledger.Interval()
-	zoneSize := n.members.ZoneRecordCount(n.deps.Zone)
-	interval = max(interval, interval*time.Duration(zoneSize)/_allotmentZoneSize)
 	sleep(ctx, _urgentReportDelay)
 	timer := time.NewTimer(interval*9/10 + n.jitter(interval/5) - _urgentReportDelay)
 	defer timer.Stop()
@@ -157,7 +153,7 @@
 
 // reportAllotmentsOnce sends one report and applies the answer.
 func (n *Node) reportAllotmentsOnce(ctx context.Context, preference *allotment.Preference) {
-	candidates := membership.RoleHolders(n.members.ZoneMembers(n.deps.Zone), _roleAllotments, _allotmentCollectors)
+	candidates := n.allotmentCollectors()
 	chosen := preference.Pick(n.deps.Now(), memberNames(candidates))
 	if chosen < 0 {
 		return
@@ -185,6 +181,25 @@
 	}
 }
 
+// allotmentCollectors returns the collectors of the zone and one in reserve, this
+// node's first choice first.
+func (n *Node) allotmentCollectors() []membership.Member {
+	members := n.members.ZoneMembers(n.deps.Zone)
+	count := collectorCount(len(members))
+	collectors := membership.RoleHolders(members, _roleAllotments, count+1)
+	first := int(xxhash.Sum64String(string(n.deps.ID)) % uint64(count))
+	if first >= len(collectors) {
+		return collectors
+	}
+	return append(collectors[first:], collectors[:first]...)
+}
+
+// collectorCount returns the number of collectors of a zone with the given number
+// of members.
+func collectorCount(members int) int {
+	return max(1, (members+_nodesPerCollector-1)/_nodesPerCollector)
+}
+
 func memberNames(members []membership.Member) []string {
 	names := make([]string, 0, len(members))
 	for _, m := range members {
@@ -246,7 +261,8 @@
 			return
 		case <-a.exchangeNeeded:
 		}
-		sleep(ctx, a.collector.ExchangeDelay(n.deps.Now()))
+		sleep(ctx, a.collector.ExchangeDelay(n.deps.Now(), n.members.MemberCount()))
+		a.collector.SetSole(collectorCount(n.members.ZoneRecordCount(n.deps.Zone)) == 1)
 		err := n.exchangeAllotmentsOnce(ctx, preference)
 		a.mu.Lock()
 		close(a.exchanged)
--- a/peer/client_test.go
+++ b/peer/client_test.go
@@ -46,7 +46,7 @@
 }
 
 // startFakePeer starts a fakePeer and returns its address.
-func startFakePeer(t *testing.T) (*fakePeer, netip.AddrPort) {
+func startFakePeer(t testing.TB) (*fakePeer, netip.AddrPort) {
 	t.Helper()
 	p := &fakePeer{}
 	_, handler := lentilferryv1connect.NewPeerServiceHandler(p, HandlerOptions()...)
