allotment: Forget zones whose counts have left the window

Collectors of large zones report under their own names, so that the holder would otherwise keep counts for each node that was ever a collector.

--- a/allotment/holder.go
+++ b/allotment/holder.go
@@ -232,6 +232,7 @@
 	}
 	h.updatedAt = now
 	h.reserveLate(now)
+	h.forgetZones(now)
 	if !h.settled {
 		if !h.settlesAt.IsZero() && !now.Before(h.settlesAt) {
 			h.settle(now)
@@ -261,6 +262,19 @@
 	}
 }
 
+// forgetZones drops what is known of zones whose counts have left the window.
+func (h *Holder) forgetZones(now time.Time) {
+	for name, at := range h.heardAt {
+		if now.Sub(at) <= h.limits.Window {
+			continue
+		}
+		delete(h.heardAt, name)
+		for _, b := range h.buckets {
+			delete(b.zones, name)
+		}
+	}
+}
+
 // settle determines the levels from what the zones admitted in the last window.
 // Each bucket is taken as empty at the beginning of the time for which the nodes
 // have counts, so that after a restart of nodes none starts full.
