pipeline: Save allocations on connections that don't pipeline

The first request keeps the context of the http.Server, and buffers of requests that arrive with their bodies are reused.

--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -33,6 +33,8 @@
 	mu sync.Mutex
 	// unread was received and not returned by Read yet.
 	unread []byte
+	// buffer is the memory of unread if that comes from _buffers; nil otherwise.
+	buffer *[_bufferBytes]byte
 	// tail holds the last bytes that Read returned, as far as they belong to a
 	// header section that has not ended.
 	tail []byte
@@ -50,9 +52,9 @@
 	// isHTTP2 is set for a connection with the preface of HTTP/2, whose data is
 	// passed on as it arrives.
 	isHTTP2 bool
-	// onMore is called in its own goroutine when bytes are returned; nil if nobody
-	// waits for them.
-	onMore func()
+	// watcher takes the connection over when bytes are returned; nil if nobody waits
+	// for them.
+	watcher *firstRequest
 }
 
 // Read reads from the connection, at most to the end of a header section.
@@ -64,6 +66,7 @@
 		copy(p, c.unread[:n])
 		if c.unread = c.unread[n:]; len(c.unread) == 0 {
 			c.unread = nil
+			c.freeBuffer()
 		}
 		return n, nil
 	}
@@ -77,11 +80,41 @@
 	delivered := c.deliver(p[:n])
 	if delivered < n {
 		// The error comes back at the next read of the connection.
-		c.unread, err = bytes.Clone(p[delivered:n]), nil
+		c.keep(p[delivered:n])
+		err = nil
 	}
 	return delivered, err //nolint:wrapcheck // As above.
 }
 
+// _buffers holds *[_bufferBytes]byte, of which unread is a part.
+var _buffers = sync.Pool{New: func() any { return new([_bufferBytes]byte) }}
+
+// _bufferBytes is how much an http.Server reads at once.
+const _bufferBytes = 4 << 10
+
+// keep makes a copy of p what was not returned yet. The caller holds c.mu.
+func (c *Conn) keep(p []byte) {
+	if len(p) > _bufferBytes {
+		c.unread = bytes.Clone(p)
+		return
+	}
+	buffer, ok := _buffers.Get().(*[_bufferBytes]byte)
+	if !ok {
+		panic("pipeline: pool of buffers returned an unexpected type")
+	}
+	c.buffer = buffer
+	c.unread = buffer[:copy(buffer[:], p)]
+}
+
+// freeBuffer returns the memory of unread, which is not used anymore. The caller
+// holds c.mu.
+func (c *Conn) freeBuffer() {
+	if c.buffer != nil {
+		_buffers.Put(c.buffer)
+		c.buffer = nil
+	}
+}
+
 // deliver records that bytes are returned by Read, and returns how many of them
 // may be. The caller holds c.mu.
 func (c *Conn) deliver(p []byte) int {
@@ -91,9 +124,9 @@
 	if c.isHTTP2 {
 		return len(p)
 	}
-	if c.onMore != nil {
-		go c.onMore()
-		c.onMore = nil
+	if c.watcher != nil {
+		go c.watcher.takeOver()
+		c.watcher = nil
 	}
 	if c.bodyBytes > 0 {
 		n := int(min(int64(len(p)), c.bodyBytes))
@@ -178,15 +211,16 @@
 	c.isStream = false
 }
 
-// watch calls f in its own goroutine once more bytes were received. If there are
-// some already, watch returns false and doesn't call it.
-func (c *Conn) watch(f func()) bool {
+// watch makes the request take the connection over in a goroutine of its own, once
+// more bytes were received. If there are some already, watch returns false and
+// doesn't.
+func (c *Conn) watch(f *firstRequest) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.unread) > 0 || !c.atHeadEnd {
 		return false
 	}
-	c.onMore = f
+	c.watcher = f
 	return true
 }
 
@@ -194,15 +228,16 @@
 func (c *Conn) unwatch() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.onMore = nil
+	c.watcher = nil
 }
 
 // take returns the bytes that Read has not returned, and removes them.
 func (c *Conn) take() []byte {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	unread := c.unread
+	unread := bytes.Clone(c.unread)
 	c.unread = nil
+	c.freeBuffer()
 	return unread
 }
 
@@ -212,7 +247,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.unread, c.tail = unread, c.tailBytes[:0]
-	c.atHeadEnd, c.hasBegun, c.isStream, c.bodyBytes, c.onMore = false, false, false, 0, nil
+	c.atHeadEnd, c.hasBegun, c.isStream, c.bodyBytes, c.watcher = false, false, false, 0, nil
 }
 
 // SyscallConn returns the socket.
--- a/pipeline/pipe.go
+++ b/pipeline/pipe.go
@@ -39,6 +39,8 @@
 	conn   *Conn
 	// out is used by the response whose turn it is.
 	out *bufio.Writer
+	// hijacked is the reader of the http.Server, which is empty.
+	hijacked *bufio.Reader
 	// in holds what was read and not begun. Only the goroutine of the pipe uses
 	// it and the fields up to mu.
 	in     []byte
@@ -74,13 +76,13 @@
 	hasChanged bool
 }
 
-func newPipe(server *Server, conn *Conn, out *bufio.Writer, in []byte) *pipe {
-	return &pipe{server: server, conn: conn, out: out, in: in, parser: bufio.NewReader(nil), changed: make(chan struct{}, 1)}
+func newPipe(server *Server, conn *Conn, hijacked *bufio.ReadWriter, in []byte) *pipe {
+	return &pipe{server: server, conn: conn, out: hijacked.Writer, hijacked: hijacked.Reader, in: in, parser: bufio.NewReader(nil), changed: make(chan struct{}, 1)}
 }
 
 // adopt makes the response to the first request that of the pipe.
-func (p *pipe) adopt(r *http.Request, header http.Header, cancel context.CancelFunc) *response {
-	first := newResponse(p, r, header, cancel)
+func (p *pipe) adopt(r *http.Request, header http.Header) *response {
+	first := newResponse(p, r, header, func() {})
 	p.queue = []*response{first}
 	first.begin()
 	return first
@@ -324,6 +326,8 @@
 		r.cancel()
 	}
 	_ = p.conn.Close()
+	// The http.Server cancels the first request when a read fails.
+	_, _ = p.hijacked.ReadByte()
 }
 
 // advance passes the turn on after the first response was written.
--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -2,9 +2,9 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -39,9 +39,10 @@
 	server  *Server
 	conn    *Conn
 	request *http.Request
-	cancel  context.CancelFunc
 	writer  http.ResponseWriter
 	header  http.Header
+	// hasReturned is set unless the handler has panicked.
+	hasReturned bool
 
 	mu sync.Mutex
 	// isDecided is set once the response has begun or the connection was taken
@@ -56,30 +57,31 @@
 // serveHTTP handles a request that the http.Server has read.
 func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
 	conn, ok := r.Context().Value(connKey{}).(*Conn)
-	if !ok || !isPlain(r) || !readArrivedBody(conn, r) {
+	if !ok || !s.mayShare(conn, r) {
 		if ok && r.ProtoMajor == 1 && r.ContentLength != 0 {
 			conn.passBody(r.ContentLength)
 		}
 		s.next.ServeHTTP(w, r)
 		return
 	}
-	ctx, cancel := context.WithCancel(r.Context())
-	f := &firstRequest{server: s, conn: conn, request: r.WithContext(ctx), cancel: cancel, writer: w, header: w.Header()}
-	hasReturned := false
-	defer func() { f.finish(hasReturned) }()
-	if !conn.watch(f.takeOver) {
+	f := &firstRequest{server: s, conn: conn, request: r, writer: w, header: w.Header()}
+	defer f.finish()
+	if !conn.watch(f) {
 		f.takeOver()
 	}
-	s.next.ServeHTTP(f, f.request)
-	hasReturned = true
+	s.next.ServeHTTP(f, r)
+	f.hasReturned = true
+}
+
+// mayShare reports whether others may be handled at the same time as a request that
+// the http.Server has read, unless the route forbids it. The body must have arrived.
+func (s *Server) mayShare(conn *Conn, r *http.Request) bool {
+	return isPlain(r) && (r.ContentLength == 0 || s.deps.IsIdempotent(r) && readArrivedBody(conn, r))
 }
 
 // readArrivedBody replaces the body of a request by one in memory, if all of it
 // has arrived. Otherwise it returns false and leaves the body alone.
 func readArrivedBody(conn *Conn, r *http.Request) bool {
-	if r.ContentLength == 0 {
-		return true
-	}
 	if !conn.expectBody(r.ContentLength) {
 		return false
 	}
@@ -106,27 +108,27 @@
 		f.server.deps.Budget.Release(_aheadBytes)
 		return
 	}
-	// Without a read, Peek returns what the http.Server has read ahead.
-	ahead, _ := buffers.Peek(buffers.Reader.Buffered())
-	p := newPipe(f.server, f.conn, buffers.Writer, append(bytes.Clone(ahead), f.conn.take()...))
-	f.isDecided, f.response = true, p.adopt(f.request, f.header, f.cancel)
+	buffered := make([]byte, buffers.Reader.Buffered())
+	// What is buffered can be read without an error.
+	_, _ = buffers.Read(buffered)
+	p := newPipe(f.server, f.conn, buffers, slices.Concat(buffered, f.conn.take()))
+	f.isDecided, f.response = true, p.adopt(f.request, f.header)
 	f.server.takenOverCount.Add(1)
 	f.server.add(p)
 	go p.run()
 }
 
 // finish ends the response after the handler has returned or panicked.
-func (f *firstRequest) finish(hasReturned bool) {
+func (f *firstRequest) finish() {
 	f.conn.unwatch()
 	response := f.decide()
 	switch {
 	case response == nil:
-	case hasReturned:
+	case f.hasReturned:
 		response.finish()
 	default:
 		response.abort()
 	}
-	f.cancel()
 }
 
 // decide returns the response that the pipe writes; nil if the http.Server does,
