--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -506,6 +507,28 @@
 	}
 }
 
+// A handler that can't write, since it isn't the turn of its response and the budget
+// has no room, waits no longer than the write deadline that it has set.
+func TestWriteDeadlineEndsWaitForTurn(t *testing.T) {
+	proceed, failed := make(chan struct{}), make(chan error, 1)
+	s := newTestServer(t, _testDepth, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/1" {
+			<-proceed
+			return
+		}
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(_absence))
+		_, err := w.Write(make([]byte, _testBudgetBytes))
+		failed <- err
+		panic(http.ErrAbortHandler)
+	})
+	c := s.dial(t)
+	c.send(get("/1", "/2"))
+	assert.ErrorIs(t, <-failed, os.ErrDeadlineExceeded)
+	close(proceed)
+	c.expect("")
+	c.expectEnd()
+}
+
 // Without room in the budget, requests are handled one after the other.
 func TestNoTakeoverWithoutBudget(t *testing.T) {
 	g := newGates()
--- a/pipeline/response.go
+++ b/pipeline/response.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httputil"
 	"net/textproto"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -152,11 +153,19 @@
 	return r.writeInTurn(p)
 }
 
-// awaitTurn waits until it is the turn of the response. The caller holds r.mu.
+// awaitTurn waits until it is the turn of the response, at most until the handler's
+// write deadline: a handler that waits may hold a slot of an upstream, for which the
+// request whose turn it is may wait. The caller holds r.mu.
 func (r *response) awaitTurn() error {
 	if r.isTurn {
 		return nil
 	}
+	var expired <-chan time.Time
+	if !r.writeDeadline.IsZero() {
+		timer := time.NewTimer(time.Until(r.writeDeadline))
+		defer timer.Stop()
+		expired = timer.C
+	}
 	r.mu.Unlock()
 	defer r.mu.Lock()
 	select {
@@ -164,6 +173,8 @@
 		return nil
 	case <-r.request.Context().Done():
 		return errBroken
+	case <-expired:
+		return os.ErrDeadlineExceeded
 	}
 }
 
