--- a/pipeline/pipe.go
+++ b/pipeline/pipe.go
@@ -53,6 +53,8 @@
 	nextBytes int
 	// mustWait is set when the next request is left to the http.Server.
 	mustWait bool
+	// blankBytes is how many bytes of empty lines may come before the next request.
+	blankBytes int
 	// readEnded is set when nothing more is read.
 	readEnded bool
 
@@ -84,6 +86,7 @@
 func (p *pipe) adopt(r *http.Request, header http.Header) *response {
 	first := newResponse(p, r, header, func() {})
 	p.queue = []*response{first}
+	p.allowBlanks(r)
 	first.begin()
 	return first
 }
@@ -137,6 +140,7 @@
 	if p.next != nil || p.mustWait {
 		return
 	}
+	p.skipBlanks()
 	end := bytes.Index(p.in, _headEnd)
 	if end < 0 {
 		return
@@ -144,7 +148,8 @@
 	end += len(_headEnd)
 	p.parser.Reset(bytes.NewReader(p.in[:end]))
 	request, err := http.ReadRequest(p.parser)
-	if err != nil || !isPlain(request) || !isWellFormed(request) || end+int(request.ContentLength) > _aheadBytes {
+	if err != nil || !isPlain(request) || !isWellFormed(request) ||
+		end > p.server.maxHeaderBytes() || end+int(request.ContentLength) > _aheadBytes {
 		p.mustWait = true
 		return
 	}
@@ -164,6 +169,28 @@
 	p.next, p.nextBytes = request, total
 }
 
+// _maxBlankBytes bounds the empty lines that are skipped after a POST request, as an
+// http.Server does for callers that end bodies with a line break.
+const _maxBlankBytes = 4
+
+func (p *pipe) allowBlanks(last *http.Request) {
+	p.blankBytes = 0
+	if last.Method == http.MethodPost {
+		p.blankBytes = _maxBlankBytes
+	}
+}
+
+// skipBlanks removes empty lines before the next request.
+func (p *pipe) skipBlanks() {
+	for ; p.blankBytes > 0 && len(p.in) > 0; p.blankBytes-- {
+		if p.in[0] != '\r' && p.in[0] != '\n' {
+			p.blankBytes = 0
+			return
+		}
+		p.in = p.in[1:]
+	}
+}
+
 // isWellFormed reports whether a request passes the checks that an http.Server
 // makes beyond http.ReadRequest. It may return false for one that passes.
 func isWellFormed(r *http.Request) bool {
@@ -178,13 +205,14 @@
 			return false
 		}
 	}
-	return r.Host != ""
+	return r.Host != "" && strings.HasPrefix(r.RequestURI, "/")
 }
 
 // begin handles the next request in a goroutine of its own.
 func (p *pipe) begin() {
 	request := p.next
 	p.in, p.next = p.in[p.nextBytes:], nil
+	p.allowBlanks(request)
 	ctx, cancel := context.WithCancel(p.conn.baseContext)
 	request = request.WithContext(ctx)
 	r := newResponse(p, request, make(http.Header), cancel)
@@ -392,11 +420,14 @@
 	p.server.setState(p.conn, http.StateIdle)
 	_ = p.conn.SetReadDeadline(p.server.idleDeadline(time.Now()))
 	var first [1]byte
-	n, _ := p.conn.Conn.Read(first[:])
-	if n < 1 {
-		return false
+	for len(p.in) == 0 {
+		n, _ := p.conn.Conn.Read(first[:])
+		if n < 1 {
+			return false
+		}
+		p.in = first[:]
+		p.skipBlanks()
 	}
-	p.in = first[:]
 	p.server.setState(p.conn, http.StateActive)
 	return true
 }
--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -434,6 +434,30 @@
 	c.expect("/3print")
 }
 
+// An empty line after the body of a POST request is skipped, as an http.Server does,
+// whether it comes with the request or later.
+func TestEmptyLineAfterPost(t *testing.T) {
+	for _, together := range []bool{true, false} {
+		g := newGates()
+		s := newTestServer(t, _testDepth, g.ServeHTTP)
+		g.open("/1", "/2", "/3")
+		c := s.dial(t)
+		c.send(get("/1") + "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nprint")
+		if !together {
+			c.expect("/1", "/2print")
+		}
+		c.send("\r\n")
+		if !together {
+			time.Sleep(_absence)
+		}
+		c.send(get("/3"))
+		if together {
+			c.expect("/1", "/2print")
+		}
+		c.expect("/3")
+	}
+}
+
 // Short bodies that have arrived don't keep requests from being handled
 // concurrently.
 func TestRequestsWithArrivedBodies(t *testing.T) {
--- a/pipeline/server.go
+++ b/pipeline/server.go
@@ -154,6 +154,14 @@
 // writeTimeout returns the time in which a response must be sent; 0 for no bound.
 func (s *Server) writeTimeout() time.Duration { return s.server.WriteTimeout }
 
+// maxHeaderBytes bounds the header sections that the http.Server accepts.
+func (s *Server) maxHeaderBytes() int {
+	if s.server.MaxHeaderBytes > 0 {
+		return s.server.MaxHeaderBytes
+	}
+	return http.DefaultMaxHeaderBytes
+}
+
 // idleDeadline returns until when an unused connection is kept; the zero value
 // for no bound.
 func (s *Server) idleDeadline(now time.Time) time.Time {
