--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -531,6 +531,32 @@
 	}
 }
 
+// Headers that wait for their turn count against the budget, and a response without
+// a body whose headers have no room waits.
+func TestBudgetBoundsHeldHeaders(t *testing.T) {
+	const headBytes = 300 << 10
+	var began, ended atomic.Int64
+	proceed := make(chan struct{})
+	s := newTestServer(t, _testDepth, func(w http.ResponseWriter, r *http.Request) {
+		began.Add(1)
+		defer ended.Add(1)
+		if r.URL.Path == "/0" {
+			<-proceed
+		}
+		w.Header().Set("X-Long", strings.Repeat(r.URL.Path[1:], headBytes))
+		w.WriteHeader(http.StatusNoContent)
+	})
+	c := s.dial(t)
+	c.send(get("/0", "/1", "/2", "/3", "/4", "/5"))
+	await(t, func() bool { return began.Load() == 6 && ended.Load() == 5 && s.HeldCount() == 3 })
+	assert.Check(t, s.budget.Held() <= _testBudgetBytes && s.HeldBytes() > 3*headBytes, s.budget.Held())
+	close(proceed)
+	for n := range 6 {
+		response, _ := c.receive(http.MethodGet)
+		assert.Check(t, response.Header.Get("X-Long") == strings.Repeat(fmt.Sprint(n), headBytes), n)
+	}
+}
+
 // A handler that can't write, since it isn't the turn of its response and the budget
 // has no room, waits no longer than the write deadline that it has set.
 func TestWriteDeadlineEndsWaitForTurn(t *testing.T) {
--- a/pipeline/response.go
+++ b/pipeline/response.go
@@ -56,6 +56,10 @@
 	// reservedBytes is how many bytes of the budget are reserved for it.
 	held          []byte
 	reservedBytes int
+	// headBytes is how many bytes are reserved for headers that wait for their turn.
+	// If the budget had no room for them, mustWait is set, and the handler waits.
+	headBytes int
+	mustWait  bool
 	// isTurn is set when turn is closed. hasHead is set when the headers were
 	// written, wantsFlush when the handler has flushed. isBroken is set when the
 	// rest of the response will never come.
@@ -102,6 +106,28 @@
 	}
 	r.sent.Del("Connection")
 	r.sent.Del("Transfer-Encoding")
+	if r.isTurn {
+		return
+	}
+	if size := headerBytes(r.sent); r.pipe.server.deps.Budget.Reserve(size) {
+		r.headBytes = size
+		r.pipe.server.heldBytes.Add(int64(size))
+	} else {
+		r.mustWait = true
+	}
+}
+
+// headerBytes returns the size of headers.
+func headerBytes(h http.Header) int {
+	// A header line has a colon, a space, CR and LF beside its name and value.
+	const perLine = 4
+	size := 0
+	for name, values := range h {
+		for _, value := range values {
+			size += len(name) + len(value) + perLine
+		}
+	}
+	return size
 }
 
 // isClosing reports whether the headers of a response close the connection.
@@ -144,7 +170,7 @@
 	if r.request.Method == http.MethodHead {
 		return len(p), nil
 	}
-	if !r.isTurn && r.hold(p) {
+	if !r.isTurn && !r.mustWait && r.hold(p) {
 		return len(p), nil
 	}
 	if err := r.awaitTurn(); err != nil {
@@ -291,9 +317,9 @@
 }
 
 func (r *response) releaseHeld() {
-	r.pipe.server.deps.Budget.Release(r.reservedBytes)
-	r.pipe.server.heldBytes.Add(-int64(r.reservedBytes))
-	r.held, r.reservedBytes = nil, 0
+	r.pipe.server.deps.Budget.Release(r.reservedBytes + r.headBytes)
+	r.pipe.server.heldBytes.Add(-int64(r.reservedBytes + r.headBytes))
+	r.held, r.reservedBytes, r.headBytes = nil, 0, 0
 }
 
 // trailerKeys returns the keys of trailers that the handler has set among the
@@ -430,6 +456,9 @@
 func (r *response) endHandler(isBroken bool) {
 	r.mu.Lock()
 	r.writeHeader(http.StatusOK)
+	if r.mustWait && !isBroken && r.awaitTurn() != nil {
+		isBroken = true
+	}
 	isShort := r.length >= 0 && r.writtenBytes != r.length && mayHaveBody(r.status) && r.request.Method != http.MethodHead
 	r.isBroken = isBroken || isShort
 	if r.isBroken {
