--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -433,6 +434,30 @@
 	c.expect("/3print")
 }
 
+// An empty line after the body of a POST request is skipped, as an http.Server does,
+// whether it comes with the request or later.
+func TestEmptyLineAfterPost(t *testing.T) {
+	for _, together := range []bool{true, false} {
+		g := newGates()
+		s := newTestServer(t, _testDepth, g.ServeHTTP)
+		g.open("/1", "/2", "/3")
+		c := s.dial(t)
+		c.send(get("/1") + "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nprint")
+		if !together {
+			c.expect("/1", "/2print")
+		}
+		c.send("\r\n")
+		if !together {
+			time.Sleep(_absence)
+		}
+		c.send(get("/3"))
+		if together {
+			c.expect("/1", "/2print")
+		}
+		c.expect("/3")
+	}
+}
+
 // Short bodies that have arrived don't keep requests from being handled
 // concurrently.
 func TestRequestsWithArrivedBodies(t *testing.T) {
@@ -506,6 +531,54 @@
 	}
 }
 
+// Headers that wait for their turn count against the budget, and a response without
+// a body whose headers have no room waits.
+func TestBudgetBoundsHeldHeaders(t *testing.T) {
+	const headBytes = 300 << 10
+	var began, ended atomic.Int64
+	proceed := make(chan struct{})
+	s := newTestServer(t, _testDepth, func(w http.ResponseWriter, r *http.Request) {
+		began.Add(1)
+		defer ended.Add(1)
+		if r.URL.Path == "/0" {
+			<-proceed
+		}
+		w.Header().Set("X-Long", strings.Repeat(r.URL.Path[1:], headBytes))
+		w.WriteHeader(http.StatusNoContent)
+	})
+	c := s.dial(t)
+	c.send(get("/0", "/1", "/2", "/3", "/4", "/5"))
+	await(t, func() bool { return began.Load() == 6 && ended.Load() == 5 && s.HeldCount() == 3 })
+	assert.Check(t, s.budget.Held() <= _testBudgetBytes && s.HeldBytes() > 3*headBytes, s.budget.Held())
+	close(proceed)
+	for n := range 6 {
+		response, _ := c.receive(http.MethodGet)
+		assert.Check(t, response.Header.Get("X-Long") == strings.Repeat(fmt.Sprint(n), headBytes), n)
+	}
+}
+
+// A handler that can't write, since it isn't the turn of its response and the budget
+// has no room, waits no longer than the write deadline that it has set.
+func TestWriteDeadlineEndsWaitForTurn(t *testing.T) {
+	proceed, failed := make(chan struct{}), make(chan error, 1)
+	s := newTestServer(t, _testDepth, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/1" {
+			<-proceed
+			return
+		}
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(_absence))
+		_, err := w.Write(make([]byte, _testBudgetBytes))
+		failed <- err
+		panic(http.ErrAbortHandler)
+	})
+	c := s.dial(t)
+	c.send(get("/1", "/2"))
+	assert.ErrorIs(t, <-failed, os.ErrDeadlineExceeded)
+	close(proceed)
+	c.expect("")
+	c.expectEnd()
+}
+
 // Without room in the budget, requests are handled one after the other.
 func TestNoTakeoverWithoutBudget(t *testing.T) {
 	g := newGates()
