intake: Bound header sections and connections of clients

Seen: clients with header sections that exceed the limit or never end take a process past its memory limit, and stalled connections take all its descriptors.

Cause: each connection may hold 64 KB of headers, which take over ten times that as a map of short lines, and nothing bounds their sum or the number of connections. HTTP/2 connections keep a buffer of the largest frame that a client announces.

Change: package intake wraps all listeners of a node. Header sections that are incomplete or in use share a budget, an eighth of memoryLimit (headerMemory); when it is used up, the connection whose header section has been incomplete the longest is closed. Connections are bounded by memory and descriptors (maxConnections), with a part reserved for each address. HTTP/2 frames are at most 16 KB, and unread bodies 128 KB a connection.

--- a/common/meter/meter.go
+++ b/common/meter/meter.go
@@ -57,6 +57,11 @@
 	return raw, errors.Wrap(err, "get socket")
 }
 
+// NetConn returns the wrapped connection.
+func (c *Conn) NetConn() net.Conn {
+	return c.Conn
+}
+
 // SetMeter makes the meter count all bytes of the connection, including those
 // so far. Only the first call has an effect.
 func (c *Conn) SetMeter(m *Meter) {
--- /dev/null
+++ b/intake/conn.go
@@ -0,0 +1,295 @@
+package intake
+
+import (
+	"bytes"
+	"container/list"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+
+	"lentilferry.example/lentilferry/common/socket"
+)
+
+const (
+	// _crowdedShare is the part of the connections beyond which the kernel keeps
+	// less of what new ones send: one in _crowdedShare.
+	_crowdedShare = 8
+	// _crowdedReceiveBytes is how much the kernel then keeps of a connection that
+	// the process doesn't read. The usual 128 KB for each of 4,100 connections is
+	// more than the memory of a small VM.
+	_crowdedReceiveBytes = 32 << 10
+)
+
+// phase is what a connection is used for.
+type phase int
+
+// The phases of a connection.
+const (
+	// _reading means that the header section of a request is incomplete, or that
+	// a new connection has sent nothing yet.
+	_reading phase = iota
+	// _inUse means that a request was read and its response isn't complete.
+	_inUse
+	// _idle means that the connection waits for its next request.
+	_idle
+	// _takenOver means that the server handles the connection no more.
+	_takenOver
+	// _removed means that the connection is closed, or is about to be.
+	_removed
+)
+
+// Conn is an accepted connection. The fields below the guard's are guarded by
+// its mutex.
+type Conn struct {
+	net.Conn
+	guard   *Guard
+	address *address
+	// uncounted is set while reads need not be counted.
+	uncounted atomic.Bool
+
+	phase phase
+	// place is the connection's entry in one of the lists of its address, or nil.
+	place *list.Element
+	// started is the sequence number of the start of the header section.
+	started uint64
+	// cost is the memory of the header section that is incomplete or in use, and
+	// streamsCost that of the requests of an HTTP/2 connection.
+	cost, streamsCost int64
+	// lastReadCost is the part of cost that the newest read of an HTTP/2
+	// connection has added.
+	lastReadCost int64
+	// charged is the part of both costs that counts against the limit.
+	charged int64
+	// endedCharge is what the connection held when it was ended, until its server
+	// has closed it.
+	endedCharge int64
+	// prefaceBytes is how many bytes the connection has in common with
+	// _http2Preface, and prefaceEnded is set once it differs.
+	prefaceBytes int
+	prefaceEnded bool
+	// isHTTP2 is set once the connection has sent _http2Preface.
+	isHTTP2 bool
+	// hasStreamed is set once an HTTP/2 connection has carried a request.
+	hasStreamed bool
+}
+
+var _ syscall.Conn = (*Conn)(nil)
+
+// SyscallConn gives access to the connection's socket. The error says that the
+// wrapped connection has none.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
+	wrapped, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.Newf("%T is no socket", c.Conn)
+	}
+	raw, err := wrapped.SyscallConn()
+	return raw, errors.Wrap(err, "get socket")
+}
+
+// CloseWrite ends the sending direction. A server calls it before it closes a
+// connection of which it hasn't read everything, so that the client gets the
+// response.
+func (c *Conn) CloseWrite() error {
+	closer, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.Newf("%T can't be closed in one direction", c.Conn)
+	}
+	return errors.Wrap(closer.CloseWrite(), "close sending direction")
+}
+
+// Read reads from the connection and counts what belongs to header sections.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.uncounted.Load() && !c.guard.count(c, p[:n]) {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// Close closes the connection and frees its part of the limits.
+func (c *Conn) Close() error {
+	c.guard.finish(c)
+	return c.Conn.Close()
+}
+
+// hasNothingUnread reports whether the kernel holds no bytes of the connection
+// that the process hasn't read.
+func (c *Conn) hasNothingUnread() bool {
+	state, err := socket.Peek(c.Conn)
+	return err != nil || state != socket.Unread
+}
+
+// limitReceived bounds what the kernel keeps of the connection while the
+// process doesn't read it.
+func (c *Conn) limitReceived() {
+	if buffered, ok := c.Conn.(interface{ SetReadBuffer(bytes int) error }); ok {
+		// Without the bound, the kernel only holds more.
+		_ = buffered.SetReadBuffer(_crowdedReceiveBytes)
+	}
+}
+
+// _http2Preface is how an HTTP/2 connection begins.
+const _http2Preface = "PRI * HTTP/2.0"
+
+// detectHTTP2 compares the first bytes of the connection with the preface of
+// HTTP/2. They may be read one at a time.
+func (c *Conn) detectHTTP2(read []byte) {
+	for i := 0; i < len(read) && !c.isHTTP2 && !c.prefaceEnded; i++ {
+		c.prefaceEnded = read[i] != _http2Preface[c.prefaceBytes]
+		c.prefaceBytes++
+		c.isHTTP2 = !c.prefaceEnded && c.prefaceBytes == len(_http2Preface)
+	}
+}
+
+// count counts bytes that were read while a header section is incomplete. It
+// returns false if the connection was ended to stay within the limits.
+func (g *Guard) count(c *Conn, read []byte) bool {
+	g.mu.Lock()
+	if c.phase == _removed {
+		g.mu.Unlock()
+		return false
+	}
+	c.detectHTTP2(read)
+	if c.phase == _idle {
+		g.startReading(c)
+	}
+	if c.isHTTP2 {
+		c.lastReadCost = min(_maxHTTP2Cost, _costPerHTTP2Byte*int64(len(read)))
+		c.cost = min(_maxHTTP2Cost, c.cost+c.lastReadCost)
+	} else {
+		c.cost += _costPerByte*int64(len(read)) + _costPerLine*int64(bytes.Count(read, []byte{'\n'}))
+	}
+	g.charge(c)
+	return g.enforce(c)
+}
+
+// enforce ends connections to stay within the limits, and waits until they are
+// closed. It returns false if the given one was ended. The caller holds g.mu,
+// which enforce unlocks.
+func (g *Guard) enforce(c *Conn) bool {
+	defer g.mu.Unlock()
+	if ended := g.makeRoom(); len(ended) > 0 {
+		logLine := g.logLine(c.address, true)
+		g.mu.Unlock()
+		logLine()
+		closeAll(ended)
+		g.mu.Lock()
+	}
+	g.awaitRoom(c)
+	return c.phase != _removed
+}
+
+// charge updates what a connection holds of the limit. The caller holds g.mu.
+func (g *Guard) charge(c *Conn) {
+	charged := max(0, c.cost+c.streamsCost-_freeBytes)
+	g.counts.HeaderBytes += charged - c.charged
+	c.charged = charged
+}
+
+// startReading records the start of a header section. The caller holds g.mu.
+func (g *Guard) startReading(c *Conn) {
+	g.leave(c)
+	g.sequence++
+	c.phase, c.started = _reading, g.sequence
+	c.place = c.address.reading.PushBack(c)
+}
+
+// leave takes a connection out of the collections of its phase. The caller holds
+// g.mu.
+func (g *Guard) leave(c *Conn) {
+	if c.place != nil {
+		// It is in one of the lists; the other one ignores it.
+		c.address.reading.Remove(c.place)
+		c.address.idle.Remove(c.place)
+		c.place = nil
+	}
+	delete(g.http2, c)
+}
+
+// remove frees what a connection holds of the limits. The caller holds g.mu.
+func (g *Guard) remove(c *Conn) {
+	if c.phase == _removed {
+		return
+	}
+	g.leave(c)
+	c.phase, c.cost, c.streamsCost = _removed, 0, 0
+	g.charge(c)
+	g.counts.Open--
+	c.address.open--
+}
+
+// trackState records a state that the server reports for a connection.
+func (g *Guard) trackState(c *Conn, state http.ConnState) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.phase == _removed {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		g.leave(c)
+		c.phase = _inUse
+		if c.isHTTP2 {
+			g.http2[c] = struct{}{}
+		}
+		c.uncounted.Store(!c.isHTTP2)
+	case http.StateIdle:
+		c.requestEnded()
+		if c.cost > _freeBytes {
+			g.startReading(c)
+		} else {
+			g.leave(c)
+			c.phase = _idle
+			c.place = c.address.idle.PushBack(c)
+		}
+		c.uncounted.Store(false)
+	case http.StateHijacked:
+		g.leave(c)
+		c.phase = _takenOver
+		c.uncounted.Store(true)
+	case http.StateNew, http.StateClosed:
+		// Recorded by Accept and Close.
+	}
+	g.charge(c)
+}
+
+// requestEnded frees what is known to belong to requests that were read. The
+// newest bytes of an HTTP/2 connection may belong to the next one. The caller
+// holds the guard's mutex.
+func (c *Conn) requestEnded() {
+	switch {
+	case !c.isHTTP2:
+		c.cost = 0
+	case c.hasStreamed:
+		c.cost = min(c.cost, c.lastReadCost)
+	}
+}
+
+// addStream counts a request of an HTTP/2 connection with the given cost in
+// place of the bytes that were read for it. It returns false if the
+// connection was ended to stay within the limits.
+func (g *Guard) addStream(c *Conn, cost int64) bool {
+	g.mu.Lock()
+	if c.phase == _removed {
+		g.mu.Unlock()
+		return false
+	}
+	c.hasStreamed = true
+	c.requestEnded()
+	c.streamsCost += cost
+	g.charge(c)
+	return g.enforce(c)
+}
+
+// endStream frees what addStream has counted.
+func (g *Guard) endStream(c *Conn, cost int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.phase != _removed {
+		c.streamsCost -= cost
+		g.charge(c)
+	}
+}
--- /dev/null
+++ b/intake/guard_test.go
@@ -0,0 +1,277 @@
+package intake_test
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"k8s.io/klog/v2"
+
+	"lentilferry.example/lentilferry/intake"
+)
+
+// pipes is a listener whose connections are pipes.
+type pipes chan net.Conn
+
+func (p pipes) Accept() (net.Conn, error) { return <-p, nil }
+func (p pipes) Close() error              { return nil }
+func (p pipes) Addr() net.Addr            { return &net.TCPAddr{} }
+
+// fixture is a guard with one server for each name.
+type fixture struct {
+	t         *testing.T
+	guard     *intake.Guard
+	servers   map[string]*http.Server
+	pipes     map[string]pipes
+	listeners map[string]net.Listener
+}
+
+func newFixture(t *testing.T, limits intake.Limits, shares map[string]float64) *fixture {
+	f := &fixture{
+		t: t, guard: intake.New(limits, klog.Logger{}, func() time.Time { return time.Unix(1_800_000_000, 0) }),
+		servers: make(map[string]*http.Server), pipes: make(map[string]pipes), listeners: make(map[string]net.Listener),
+	}
+	for name, share := range shares {
+		f.servers[name], f.pipes[name] = &http.Server{}, make(pipes, 1)
+		f.listeners[name] = f.guard.Protect(name, f.servers[name], f.pipes[name], share)
+	}
+	return f
+}
+
+// client is both ends of a connection.
+type client struct {
+	f          *fixture
+	server     *http.Server
+	near, conn net.Conn
+	// ended is closed once the server has closed the connection because it found
+	// it ended.
+	ended chan struct{}
+}
+
+func (f *fixture) connect(name string) *client {
+	f.t.Helper()
+	near, far := net.Pipe()
+	f.t.Cleanup(func() { _, _ = near.Close(), far.Close() })
+	f.pipes[name] <- far
+	conn, err := f.listeners[name].Accept()
+	assert.NilError(f.t, err)
+	c := &client{f: f, server: f.servers[name], near: near, conn: conn, ended: make(chan struct{})}
+	go func() {
+		defer close(c.ended)
+		_, _ = io.Copy(io.Discard, near)
+		_ = conn.Close()
+	}()
+	return c
+}
+
+// send sends text and reads it at the server. It reports whether the connection
+// is open afterwards.
+func (c *client) send(text string) bool {
+	go func() { _, _ = io.WriteString(c.near, text) }()
+	_, err := io.ReadFull(c.conn, make([]byte, len(text)))
+	return err == nil
+}
+
+func (c *client) report(state http.ConnState) { c.server.ConnState(c.conn, state) }
+
+// isOpen reports whether the guard has not ended the connection.
+func (c *client) isOpen() bool {
+	select {
+	case <-c.ended:
+		return false
+	case <-time.After(5 * time.Millisecond):
+		return true
+	}
+}
+
+// assertEnded waits until the connection has ended.
+func (c *client) assertEnded() {
+	c.f.t.Helper()
+	select {
+	case <-c.ended:
+	case <-time.After(10 * time.Second):
+		c.f.t.Fatal("the connection is open")
+	}
+}
+
+var _head = "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("x", 10_000)
+
+// The requirement: what has been incomplete the longest gives way, at whatever
+// address it is, and requests that were read don't.
+func TestLongestIncompleteHeaderEndsFirst(t *testing.T) {
+	f := newFixture(t, intake.Limits{HeaderBytes: 40_000, Conns: 100}, map[string]float64{"a": 0.1, "b": 0.1})
+	read, first, second, third := f.connect("a"), f.connect("b"), f.connect("a"), f.connect("a")
+	for _, c := range []*client{read, first, second} {
+		assert.Assert(t, c.send(_head))
+	}
+	read.report(http.StateActive)
+	assert.Assert(t, first.isOpen())
+	assert.Assert(t, third.send(_head))
+	first.assertEnded()
+	assert.Assert(t, read.isOpen() && second.isOpen() && third.isOpen())
+	assert.Equal(t, f.guard.Counts().EndedForHeaders, uint64(1))
+}
+
+// A new header section on a kept connection is younger than those that others
+// began before.
+func TestKeptConnectionStartsAnew(t *testing.T) {
+	f := newFixture(t, intake.Limits{HeaderBytes: 30_000, Conns: 100}, map[string]float64{"a": 0.1})
+	kept, other, last := f.connect("a"), f.connect("a"), f.connect("a")
+	kept.report(http.StateActive)
+	kept.report(http.StateIdle)
+	assert.Assert(t, other.send(_head))
+	assert.Assert(t, kept.send(_head))
+	assert.Assert(t, last.send(_head))
+	other.assertEnded()
+	assert.Assert(t, kept.isOpen() && last.isOpen())
+}
+
+// Guards against ordinary callers being refused when others have used up the
+// limit with requests that were read.
+func TestOrdinaryRequestsNeedNoRoom(t *testing.T) {
+	f := newFixture(t, intake.Limits{HeaderBytes: 30_000, Conns: 100}, map[string]float64{"a": 0.1})
+	for range 2 {
+		c := f.connect("a")
+		assert.Assert(t, c.send(_head))
+		c.report(http.StateActive)
+	}
+	refused, ordinary := f.connect("a"), f.connect("a")
+	assert.Assert(t, !refused.send(_head))
+	for range 10 {
+		assert.Assert(t, ordinary.send("GET / HTTP/1.1\r\n"+strings.Repeat("Header: some value\r\n", 20)+"\r\n"))
+		ordinary.report(http.StateActive)
+		ordinary.report(http.StateIdle)
+	}
+}
+
+// Guards against memory that is counted for good.
+func TestEverythingIsFreed(t *testing.T) {
+	f := newFixture(t, intake.Limits{HeaderBytes: 1 << 20, Conns: 100}, map[string]float64{"a": 0.1})
+	kept, closed, hijacked := f.connect("a"), f.connect("a"), f.connect("a")
+	for _, c := range []*client{kept, closed, hijacked} {
+		assert.Assert(t, c.send(_head))
+		c.report(http.StateActive)
+	}
+	assert.Assert(t, f.guard.Counts().HeaderBytes > 0)
+	kept.report(http.StateIdle)
+	hijacked.report(http.StateHijacked)
+	assert.Assert(t, hijacked.send(_head))
+	assert.NilError(t, closed.conn.Close())
+	assert.NilError(t, hijacked.conn.Close())
+	assert.NilError(t, hijacked.conn.Close())
+	counts := f.guard.Counts()
+	assert.Equal(t, counts.HeaderBytes, int64(0))
+	assert.Equal(t, counts.Open, 1)
+}
+
+// Bodies are bounded elsewhere.
+func TestBodiesAreNotCounted(t *testing.T) {
+	f := newFixture(t, intake.Limits{HeaderBytes: 30_000, Conns: 100}, map[string]float64{"a": 0.1})
+	c := f.connect("a")
+	c.report(http.StateActive)
+	assert.Assert(t, c.send(strings.Repeat("x", 100_000)))
+	assert.Equal(t, f.guard.Counts().HeaderBytes, int64(0))
+}
+
+// Guards against HTTP/2 connections that aren't known as such because their
+// preface arrives in parts, and against bodies that count without bound.
+func TestHTTP2ConnectionIsCountedAtMostOnce(t *testing.T) {
+	f := newFixture(t, intake.Limits{HeaderBytes: 1 << 20, Conns: 100}, map[string]float64{"a": 0.1})
+	c := f.connect("a")
+	for _, b := range "PRI * HTTP/2.0" {
+		assert.Assert(t, c.send(string(b)))
+	}
+	assert.Assert(t, c.send(strings.Repeat("x", 200)))
+	assert.Equal(t, f.guard.Counts().HeaderBytes, int64(0))
+	c.report(http.StateActive)
+	for range 10 {
+		assert.Assert(t, c.send(strings.Repeat("x", 10_000)))
+	}
+	assert.Assert(t, f.guard.Counts().HeaderBytes > 64<<10 && f.guard.Counts().HeaderBytes < 128<<10)
+}
+
+// Guards against one address that takes all connections from the others.
+func TestAddressesHaveReservedConnections(t *testing.T) {
+	f := newFixture(t, intake.Limits{HeaderBytes: 1 << 20, Conns: 100}, map[string]float64{"a": 0.25, "b": 0.25})
+	for range 200 {
+		f.connect("a").report(http.StateActive)
+		if f.guard.Counts().Open == 75 {
+			break
+		}
+	}
+	for range 25 {
+		f.connect("b")
+	}
+	counts := f.guard.Counts()
+	assert.Equal(t, counts.Open, 100)
+	assert.Equal(t, counts.Refused+counts.EndedForOthers, uint64(0))
+}
+
+// A new connection takes the place of one that is incomplete, else of one that
+// is idle, never of one in use.
+func TestRoomForNewConnections(t *testing.T) {
+	f := newFixture(t, intake.Limits{HeaderBytes: 1 << 20, Conns: 3}, map[string]float64{"a": 0.1})
+	inUse, idle, incomplete := f.connect("a"), f.connect("a"), f.connect("a")
+	inUse.report(http.StateActive)
+	idle.report(http.StateActive)
+	idle.report(http.StateIdle)
+	f.connect("a").report(http.StateActive)
+	incomplete.assertEnded()
+	assert.Assert(t, inUse.isOpen() && idle.isOpen())
+	f.connect("a").report(http.StateActive)
+	idle.assertEnded()
+	assert.Assert(t, inUse.isOpen())
+	near, far := net.Pipe()
+	f.pipes["a"] <- far
+	go func() { _, _ = f.listeners["a"].Accept() }()
+	_, err := near.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF)
+	assert.Equal(t, f.guard.Counts().Refused, uint64(1))
+	// Ends the Accept above.
+	assert.NilError(t, inUse.conn.Close())
+	_, last := net.Pipe()
+	f.pipes["a"] <- last
+}
+
+func TestLimitsFor(t *testing.T) {
+	for _, test := range []struct {
+		memoryMB    int64
+		descriptors uint64
+		want        intake.Limits
+	}{
+		{184, 4100, intake.Limits{HeaderBytes: 23 << 20, Conns: 3075}},
+		{536, 8192, intake.Limits{HeaderBytes: 67 << 20, Conns: 6144}},
+		{128, 1 << 20, intake.Limits{HeaderBytes: 16 << 20, Conns: 2730}},
+		{32, 16, intake.Limits{HeaderBytes: 4 << 20, Conns: 64}},
+		{64 << 10, math.MaxUint64, intake.Limits{HeaderBytes: 8 << 30, Conns: 1398101}},
+	} {
+		assert.Equal(t, intake.LimitsFor(test.memoryMB<<20, test.descriptors), test.want, fmt.Sprint(test.memoryMB))
+	}
+}
+
+// BenchmarkKeptConnection measures what the guard adds to a request.
+func BenchmarkKeptConnection(b *testing.B) {
+	guard := intake.New(intake.Limits{HeaderBytes: 1 << 20, Conns: 100}, klog.Logger{}, time.Now)
+	server, conns := &http.Server{}, make(pipes, 1)
+	listener := guard.Protect("a", server, conns, 0.1)
+	conns <- endless{}
+	conn, err := listener.Accept()
+	assert.NilError(b, err)
+	head := make([]byte, 500)
+	for b.Loop() {
+		_, _ = conn.Read(head)
+		server.ConnState(conn, http.StateActive)
+		server.ConnState(conn, http.StateIdle)
+	}
+}
+
+// endless is a connection that always has something to read.
+type endless struct{ net.Conn }
+
+func (endless) Read(p []byte) (int, error) { return len(p), nil }
--- a/lentilferryd/main.go
+++ b/lentilferryd/main.go
@@ -7,6 +7,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -26,6 +27,7 @@
 	"lentilferry.example/lentilferry/common/dial"
 	"lentilferry.example/lentilferry/common/faults"
 	"lentilferry.example/lentilferry/common/logs"
+	"lentilferry.example/lentilferry/intake"
 	"lentilferry.example/lentilferry/node"
 	"lentilferry.example/lentilferry/objectstore"
 	"lentilferry.example/lentilferry/operator"
@@ -146,6 +148,7 @@
 		Now:             time.Now,
 		DroppedLogLines: writer.Dropped,
 
+		Intake:           intakeLimits(s),
 		MaxBufferedBytes: int64(_bufferFraction * float64(s.MemoryLimit)),
 		OperatorHandler: func(n *node.Node) (string, http.Handler) {
 			return operator.New(n, time.Now).Handler()
@@ -164,6 +167,22 @@
 	return err
 }
 
+// intakeLimits returns the limits of the settings, with those of the process for
+// what is not set.
+func intakeLimits(s settings.Settings) intake.Limits {
+	descriptors := syscall.Rlimit{Cur: math.MaxUint64}
+	// Without the limit, only the memory bounds the connections.
+	_ = syscall.Getrlimit(syscall.RLIMIT_NOFILE, &descriptors)
+	limits := intake.LimitsFor(s.MemoryLimit, descriptors.Cur)
+	if s.HeaderMemory > 0 {
+		limits.HeaderBytes = s.HeaderMemory
+	}
+	if s.MaxConnections > 0 {
+		limits.Conns = s.MaxConnections
+	}
+	return limits
+}
+
 // connectPlatform sets the dependencies of the node that belong to its
 // platform.
 func connectPlatform(ctx context.Context, s settings.Settings, d *node.Dependencies) error {
--- a/lentilferryd/main_test.go
+++ b/lentilferryd/main_test.go
@@ -18,7 +18,9 @@
 	if os.Getenv(_runAsDaemon) != "" {
 		os.Exit(run(os.Args[1:]))
 	}
-	os.Exit(m.Run())
+	code := m.Run()
+	_ = os.RemoveAll(_buildFolder)
+	os.Exit(code)
 }
 
 // freeAddress returns a loopback address with a port that is free just now.
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -26,6 +26,11 @@
 	gauge("identitiesKept", func() uint64 { return uint64(n.identities.Len()) })
 	gauge("callersClosedIdle", n.callerConns.ClosedCount)
 	gauge("requestsAtIdleClose", n.callerConns.CrossedCount)
+	gauge("connectionsOpen", func() uint64 { return uint64(n.guard.Counts().Open) })
+	gauge("headerBytes", func() uint64 { return uint64(n.guard.Counts().HeaderBytes) })
+	gauge("connectionsEndedForHeaders", func() uint64 { return n.guard.Counts().EndedForHeaders })
+	gauge("connectionsEndedForOthers", func() uint64 { return n.guard.Counts().EndedForOthers })
+	gauge("connectionsRefused", func() uint64 { return n.guard.Counts().Refused })
 	gauge("goroutines", func() uint64 { return uint64(runtime.NumGoroutine()) })
 	gauge("heapBytes", func() uint64 {
 		var m runtime.MemStats
--- a/node/node.go
+++ b/node/node.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"expvar"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -28,6 +29,7 @@
 	"lentilferry.example/lentilferry/distribution"
 	"lentilferry.example/lentilferry/evidence"
 	"lentilferry.example/lentilferry/identity"
+	"lentilferry.example/lentilferry/intake"
 	"lentilferry.example/lentilferry/lease"
 	"lentilferry.example/lentilferry/lifecycle"
 	"lentilferry.example/lentilferry/membership"
@@ -170,6 +172,9 @@
 	// MaxBufferedBytes bounds the bytes of calls' bodies that are kept in memory; 0
 	// selects the default.
 	MaxBufferedBytes int64
+	// Intake bounds what the node holds for clients whose requests it has not
+	// read; the zero value selects the default.
+	Intake intake.Limits
 	// DroppedLogLines returns how many log lines have been dropped; nil if
 	// lines are never dropped.
 	DroppedLogLines func() uint64
@@ -253,6 +258,8 @@
 	// callerConns and peerConns track the connections of callers and of other
 	// nodes.
 	callerConns, peerConns *callerConns
+	// guard bounds the connections and header sections of all servers.
+	guard *intake.Guard
 	// broadcasts queues the updates to send to other members without waiting
 	// for gossip.
 	broadcasts    *membership.BroadcastQueue
@@ -272,6 +279,9 @@
 const (
 	// _defaultMaxBufferedBytes is the default of Dependencies.MaxBufferedBytes.
 	_defaultMaxBufferedBytes = 32 << 20
+	// _defaultMemoryBytes is the memory limit that the default of
+	// Dependencies.Intake is for.
+	_defaultMemoryBytes = 256 << 20
 	// _maxIdentities bounds the call identities remembered at once: 2,000
 	// commands a second for the longest timeout.
 	_maxIdentities = 240_000
@@ -302,6 +312,9 @@
 	if deps.MaxBufferedBytes == 0 {
 		deps.MaxBufferedBytes = _defaultMaxBufferedBytes
 	}
+	if deps.Intake == (intake.Limits{}) {
+		deps.Intake = intake.LimitsFor(_defaultMemoryBytes, math.MaxUint64)
+	}
 	now := deps.Now()
 	seed := uint64(now.UnixNano())
 	n := &Node{
@@ -322,6 +335,7 @@
 		orderDetectors:   make(map[string]*evidence.Detector),
 		callerConns:      newCallerConns(),
 		peerConns:        newCallerConns(),
+		guard:            intake.New(deps.Intake, deps.Logger, deps.Now),
 		broadcasts:       membership.NewBroadcastQueue(),
 		startedAt:        now,
 		stopRequested:    make(chan struct{}),
--- a/node/servers.go
+++ b/node/servers.go
@@ -18,6 +18,20 @@
 	"lentilferry.example/lentilferry/peer"
 )
 
+const (
+	// _mainConnShare is the part of all connections that is reserved for the call
+	// address, and for the peer address; _sideConnShare that for another one.
+	_mainConnShare = 0.25
+	_sideConnShare = 0.0625
+	// _maxReadFrameBytes bounds the HTTP/2 frames of a client. A connection keeps a
+	// buffer of the largest one that was announced.
+	_maxReadFrameBytes = 16 << 10
+	// _maxUnreadConnBytes and _maxUnreadStreamBytes bound what an HTTP/2 connection
+	// and one of its streams keep of bodies that nobody reads.
+	_maxUnreadConnBytes   = 128 << 10
+	_maxUnreadStreamBytes = 64 << 10
+)
+
 // boundServer is an HTTP server and the listener that it serves.
 type boundServer struct {
 	server   *http.Server
@@ -42,12 +56,13 @@
 	const ownSockets = 3
 	all := make([]boundServer, 0, ownSockets+len(n.deps.ExtraServers))
 	all = append(all,
-		boundServer{server: calls, listener: n.deps.Listeners.Calls},
-		boundServer{server: peers, listener: meter.Listener{Listener: n.deps.Listeners.Peers}},
-		boundServer{server: admin, listener: n.deps.Listeners.Admin},
+		boundServer{server: calls, listener: n.guard.Protect("calls", calls, n.deps.Listeners.Calls, _mainConnShare)},
+		boundServer{server: peers, listener: meter.Listener{Listener: n.guard.Protect("peers", peers, n.deps.Listeners.Peers, _mainConnShare)}},
+		boundServer{server: admin, listener: n.guard.Protect("admin", admin, n.deps.Listeners.Admin, _sideConnShare)},
 	)
 	for _, s := range n.deps.ExtraServers {
-		all = append(all, boundServer{server: n.newServer(s.Handler(n)), listener: s.Listener})
+		server := n.newServer(s.Handler(n))
+		all = append(all, boundServer{server: server, listener: n.guard.Protect("extra", server, s.Listener, _sideConnShare)})
 	}
 	return all
 }
@@ -64,8 +79,13 @@
 		WriteTimeout:      _writeTimeout,
 		IdleTimeout:       _callerIdleTimeout,
 		MaxHeaderBytes:    _maxRequestHeaderBytes,
-		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: _maxConcurrentStreams},
-		ErrorLog:          log.New(serverLog{n.deps.Logger}, "", 0),
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams:          _maxConcurrentStreams,
+			MaxReadFrameSize:              _maxReadFrameBytes,
+			MaxReceiveBufferPerConnection: _maxUnreadConnBytes,
+			MaxReceiveBufferPerStream:     _maxUnreadStreamBytes,
+		},
+		ErrorLog: log.New(serverLog{n.deps.Logger}, "", 0),
 	}
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -72,6 +72,11 @@
 	// MemoryLimit is the memory limit of the process, in bytes. Its setting is
 	// in megabytes.
 	MemoryLimit int64
+	// HeaderMemory bounds the memory of header sections that are incomplete or in
+	// use, in bytes, and MaxConnections the connections of clients. 0 derives them
+	// from the limits of the process.
+	HeaderMemory   int64
+	MaxConnections int
 	// GCPercent is the growth of the heap that triggers a garbage collection,
 	// in percent.
 	GCPercent int
@@ -126,6 +131,8 @@
 		{name: "platform-protocol", defaultValue: _protocolNative, help: "protocol of the platform: native for the product's own object API, hosted for the users' platform"},
 		{name: "announce-address", help: "IP:port at which the upstream of a hosted node announces itself"},
 		{name: "memory-limit", defaultValue: "128", help: "memory limit of the process, in megabytes"},
+		{name: "header-memory", defaultValue: "0", help: "megabytes that header sections which are incomplete or in use may take; 0 is an eighth of memoryLimit"},
+		{name: "max-connections", defaultValue: "0", help: "connections that clients may open at all addresses together; 0 is what half of memoryLimit and three quarters of the descriptors allow"},
 		{name: "gc-percent", defaultValue: "400", help: "growth of the heap, in percent, that triggers a garbage collection; lower values use less memory and more CPU time"},
 		{name: "seeds", help: "peer addresses to contact first, for a start while the platform is down"},
 		{name: "service", help: "service of this VM's upstream; empty for a node without one"},
@@ -274,6 +281,8 @@
 		s.Upstream.SelfAnnounced = true
 	}
 	s.MemoryLimit = int64(r.decimal("memory-limit", _minMemoryMB, _maxMemoryMB) * (1 << 20))
+	s.HeaderMemory = r.headerMemory(s.MemoryLimit)
+	s.MaxConnections = r.maxConnections()
 	s.GCPercent = r.number("gc-percent", _minGCPercent, _maxGCPercent)
 	s.Membership.SuspicionTimeout = r.duration("suspicion-timeout")
 	s.Lease = leaseTiming(r.duration("lease-lifetime"))
@@ -281,6 +290,32 @@
 	return s
 }
 
+const (
+	// _minHeaderMemoryMB holds the longest header section, of the shortest lines,
+	// at least once.
+	_minHeaderMemoryMB = 2
+	_minConnections    = 64
+	_maxConnections    = 1_000_000
+)
+
+// headerMemory returns the bound on the memory of header sections, in bytes, or
+// 0 if it isn't set.
+func (r *reader) headerMemory(memoryLimit int64) int64 {
+	if r.text("header-memory") == "0" {
+		return 0
+	}
+	half := float64(memoryLimit>>20) / 2
+	return int64(r.decimal("header-memory", _minHeaderMemoryMB, half) * (1 << 20))
+}
+
+// maxConnections returns the bound on connections, or 0 if it isn't set.
+func (r *reader) maxConnections() int {
+	if r.text("max-connections") == "0" {
+		return 0
+	}
+	return r.number("max-connections", _minConnections, _maxConnections)
+}
+
 // _killMargin is how long before the platform kills the process a planned stop
 // stops waiting for in-flight calls. Answering the interrupted ones, telling
 // peers, closing the servers and writing the last log lines takes up to 0.7 s, and
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -153,6 +153,21 @@
 	assert.ErrorContains(t, err, `memoryLimit: "NaN" is not a number from 32 to 65536`)
 }
 
+// The limits on clients are derived from those of the process unless they are
+// set, and can't be set so low that one header section has no room.
+func TestClientLimits(t *testing.T) {
+	s, _, err := Load(withValidArgs())
+	assert.NilError(t, err)
+	assert.Assert(t, s.HeaderMemory == 0 && s.MaxConnections == 0)
+	s, _, err = Load(withValidArgs("--memory-limit", "100", "--header-memory", "12.5", "--max-connections", "500"))
+	assert.NilError(t, err)
+	assert.Equal(t, s.HeaderMemory, int64(12.5*(1<<20)))
+	assert.Equal(t, s.MaxConnections, 500)
+	_, _, err = Load(withValidArgs("--memory-limit", "100", "--header-memory", "51", "--max-connections", "5"))
+	assert.ErrorContains(t, err, `headerMemory: "51" is not a number from 2 to 50`)
+	assert.ErrorContains(t, err, `maxConnections: "5" is not a number from 64 to 1000000`)
+}
+
 // A node behind a port forwarder listens at another address than the one at
 // which other nodes reach it.
 func TestPeerListenAddress(t *testing.T) {
