--- a/node/servers.go
+++ b/node/servers.go
@@ -46,7 +46,7 @@
 	calls.BaseContext = newContext
 	calls.ConnContext = call.ConnContext
 	calls.ConnState = func(conn net.Conn, state http.ConnState) { n.callerConns.trackState(n.deps.Now(), conn, state) }
-	callListener := n.deps.Listeners.Calls
+	callListener := n.guard.Protect("calls", calls, n.deps.Listeners.Calls, _mainConnShare)
 	if n.pipelines != nil {
 		callListener = n.pipelines.Attach(calls, callListener)
 	}
@@ -61,9 +61,6 @@
 	all := make([]boundServer, 0, ownSockets+len(n.deps.ExtraServers))
 	all = append(all,
 		boundServer{server: calls, listener: callListener},
-		boundServer{server: peers, listener: meter.Listener{Listener: n.deps.Listeners.Peers}},
-		boundServer{server: admin, listener: n.deps.Listeners.Admin},
-		boundServer{server: calls, listener: n.guard.Protect("calls", calls, n.deps.Listeners.Calls, _mainConnShare)},
 		boundServer{server: peers, listener: meter.Listener{Listener: n.guard.Protect("peers", peers, n.deps.Listeners.Peers, _mainConnShare)}},
 		boundServer{server: admin, listener: n.guard.Protect("admin", admin, n.deps.Listeners.Admin, _sideConnShare)},
 	)
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -57,6 +57,11 @@
 	watcher *firstRequest
 }
 
+// NetConn returns the wrapped connection.
+func (c *Conn) NetConn() net.Conn {
+	return c.Conn
+}
+
 // Read reads from the connection, at most to the end of a header section.
 func (c *Conn) Read(p []byte) (int, error) {
 	c.mu.Lock()
