call: Show the result when a cut response was not sent once

TestCutResponseIsNoSuccess failed three times under load with a call that did not reach the upstream, without saying how it was refused. The check is the same and now prints the result.

--- a/call/cut_response_test.go
+++ b/call/cut_response_test.go
@@ -87,7 +87,7 @@
 								}
 								before := upstream.calls.Load()
 								got := sendCutCall(t, cluster, method, fmt.Sprintf("c%03d%d", cut, i))
-								assert.Equal(t, upstream.calls.Load(), before+1)
+								assert.Equal(t, upstream.calls.Load(), before+1, "%+v", got)
 								isWhole := !got.broken && got.status < http.StatusMultipleChoices
 								assert.Assert(t, !isWhole || got.body == _cutBody, "cut at byte %d of %d: status %d, body %q", cut, length, got.status, got.body)
 							}
