--- a/call/load_play_test.go
+++ b/call/load_play_test.go
@@ -212,7 +212,7 @@
 func (p *play) send(c *playCall) {
 	r := p.routes[c.route]
 	e, ok := c.sender.pool.Choose(p.now, routing.Query{Service: "s", Versions: config.VersionSet{Only: "v1"}, Route: r.Name, Objective: r.Objective, Tried: c.tried})
-	if !ok || len(c.tried) >= 8 {
+	if !ok || len(c.tried) >= _maxRefusals {
 		p.finish(c, false)
 		return
 	}
