allotment: Count calls of nodes that change collectors

Seen: in about one of 2,500 random trials a workspace exceeded the bound by up to 4 in 100, when a collector was killed just after a jump of demand. Cause: what a node had admitted before it reported to another collector only reached the holder in the first full report of that collector. Change: a node that is new to a collector makes its next report a full one, and the holder counts what such a report adds. States are stale after 1.25 s, and demands and shares are kept instead of summed up for each workspace.

--- a/allotment/allotment.go
+++ b/allotment/allotment.go
@@ -34,7 +34,7 @@
 	// StaleAfter is how long a node acts on a state of the holder. It covers the
 	// longest report interval, the wait for the collector's exchange and one lost
 	// message; then the node falls back to a fixed share.
-	StaleAfter = 1500 * time.Millisecond
+	StaleAfter = 1250 * time.Millisecond
 	// ScarceInterval is the time between reports of a node while a workspace is
 	// scarce.
 	ScarceInterval = 200 * time.Millisecond
@@ -56,13 +56,13 @@
 	// that hear from the holder and of those that don't may add up to more than
 	// the rate. The rest covers what is admitted before a jump of demand is
 	// noticed.
-	_usableOverage = 0.4
+	_usableOverage = 0.25
 	// _burstSlack is the part of Limits.Slack that is added to each burst. It keeps
 	// the random variation of small workspaces from causing refusals.
-	_burstSlack = 0.25
+	_burstSlack = 0.2
 	// _fallbackSlack is the part of Limits.Slack that is added to the burst when
 	// fixed shares are in force. It is divided between the nodes.
-	_fallbackSlack = 0.5
+	_fallbackSlack = 0.3
 	// _scarceFraction is the fraction of the demand that could be admitted below
 	// which nodes are told of a workspace. At 2.5 it uses 0.8 of its rate while
 	// its bucket is full; below that, what it didn't use covers a jump.
--- a/allotment/allotment_test.go
+++ b/allotment/allotment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -22,9 +23,7 @@
 )
 
 // _maxLoss is the greatest part of the messages that is lost in one direction.
-// At 0.24, with 0.42 of all exchanges failing, one trial in 1,500 exceeded the
-// bound by 2 in 100; see docs/design/allotments.md.
-const _maxLoss = 0.2
+const _maxLoss = 0.3
 
 // maxAdmitted returns the bound of the calls that are admitted in a window.
 func maxAdmitted(w config.Workspace, l Limits) float64 {
@@ -35,8 +34,8 @@
 	return config.Workspace{Name: "w", Rate: rate, Burst: rate}
 }
 
-func newFleetOf72(seed uint64, rate float64) *fleet {
-	return newFleet(rand.New(rand.NewPCG(seed, 1)), 6, 12, []config.Workspace{workspace(rate)})
+func newFleetOf72(rate float64) *fleet {
+	return newFleet(rand.New(rand.NewPCG(1, 1)), 6, 12, []config.Workspace{workspace(rate)})
 }
 
 // In no window do all nodes together admit more than the limits allow, whatever
@@ -94,7 +93,7 @@
 // less than a call and against bounds that are too tight.
 func TestFleetOf72(t *testing.T) {
 	for _, rate := range []float64{5, 12, 50, 200, 562} {
-		f := newFleetOf72(1, rate)
+		f := newFleetOf72(rate)
 		f.demand[0] = rate * _usualPart
 		f.run(10 * time.Second)
 		started, asked := f.refused(), len(f.asked[0])
@@ -120,35 +119,37 @@
 	}
 }
 
+// _faults bring one fault about each.
+var _faults = map[string]func(*fleet){
+	"collector killed": func(f *fleet) { f.kill(f.nodes[3], 3*time.Second) },
+	"holder killed":    func(f *fleet) { f.kill(f.nodes[0], 3*time.Second) },
+	"zone killed": func(f *fleet) {
+		for i := 2; i < len(f.nodes); i += f.zones {
+			f.kill(f.nodes[i], 3*time.Second)
+		}
+	},
+	"all restarted": func(f *fleet) {
+		for _, n := range f.nodes {
+			f.kill(n, time.Second)
+		}
+	},
+	"restarted in turn": func(f *fleet) {
+		for i, n := range f.nodes {
+			f.after(time.Duration(i)*100*time.Millisecond, func() { f.kill(n, time.Second) })
+		}
+	},
+	"partitioned": func(f *fleet) {
+		f.side = []int{0, 0, 0, 1, 1, 1}
+		f.after(6*time.Second, func() { clear(f.side) })
+	},
+}
+
 // A single fault costs few calls of a workspace that keeps within its allotment.
 // It guards against roles that are taken over too late or from empty buckets.
 func TestFaultsCostFewCalls(t *testing.T) {
-	faults := map[string]func(*fleet){
-		"collector killed": func(f *fleet) { f.kill(f.nodes[3], 3*time.Second) },
-		"holder killed":    func(f *fleet) { f.kill(f.nodes[0], 3*time.Second) },
-		"zone killed": func(f *fleet) {
-			for i := 2; i < len(f.nodes); i += f.zones {
-				f.kill(f.nodes[i], 3*time.Second)
-			}
-		},
-		"all restarted": func(f *fleet) {
-			for _, n := range f.nodes {
-				f.kill(n, time.Second)
-			}
-		},
-		"restarted in turn": func(f *fleet) {
-			for i, n := range f.nodes {
-				f.after(time.Duration(i)*100*time.Millisecond, func() { f.kill(n, time.Second) })
-			}
-		},
-		"partitioned": func(f *fleet) {
-			f.side = []int{0, 0, 0, 1, 1, 1}
-			f.after(6*time.Second, func() { clear(f.side) })
-		},
-	}
-	for name, fault := range faults {
+	for name, fault := range _faults {
 		for _, rate := range []float64{5, 50, 562} {
-			f := newFleetOf72(1, rate)
+			f := newFleetOf72(rate)
 			f.demand[0] = rate * _usualPart
 			f.run(10 * time.Second)
 			before := f.refused()
@@ -160,10 +161,25 @@
 	}
 }
 
+// The bound holds if demand jumps at the moment when half of the zones are cut off
+// from the others. It guards against nodes that trust an old state for too long.
+func TestJumpWhenPartitioned(t *testing.T) {
+	for _, rate := range []float64{5, 50, 562} {
+		f := newFleetOf72(rate)
+		f.demand[0] = rate * _usualPart
+		f.run(10 * time.Second)
+		f.demand[0] = rate * _maxJump
+		f.side = []int{0, 0, 0, 1, 1, 1}
+		f.run(12 * time.Second)
+		most, bound := busiest(f.admitted[0], f.limits.Window), maxAdmitted(f.workspaces[0], f.limits)
+		assert.Assert(t, float64(most) <= bound, "rate %.0f: %d calls admitted in a window, bound %.0f", rate, most, bound)
+	}
+}
+
 // A lower limit applies one window after it is in force, and what was admitted
 // before stays counted. It guards against buckets that are reset by a change.
 func TestLoweredLimit(t *testing.T) {
-	f := newFleetOf72(1, 562)
+	f := newFleetOf72(562)
 	f.demand[0] = 350
 	f.run(10 * time.Second)
 	f.workspaces = []config.Workspace{workspace(60)}
@@ -253,23 +269,29 @@
 	}
 }
 
-// BenchmarkExchange measures the work of all roles of 12 nodes and 77 workspaces
-// for one exchange.
+// BenchmarkExchange measures the work of all roles for one exchange of 12 nodes,
+// each with calls of 8 workspaces.
 func BenchmarkExchange(b *testing.B) {
+	for _, count := range []int{77, 1_000} {
+		b.Run(strconv.Itoa(count), func(b *testing.B) { benchmarkExchange(b, count) })
+	}
+}
+
+func benchmarkExchange(b *testing.B, count int) {
 	now := time.Now()
-	workspaces := make([]config.Workspace, 77)
+	workspaces := make([]config.Workspace, count)
 	for i := range workspaces {
-		workspaces[i] = config.Workspace{Name: config.WorkspaceName(rune('0' + i)), Rate: 50, Burst: 50}
+		workspaces[i] = config.Workspace{Name: config.WorkspaceName(strconv.Itoa(i)), Rate: 50, Burst: 50}
 	}
 	holder, collector := NewHolder(DefaultLimits()), NewCollector(DefaultLimits(), "c", "z", 1)
 	holder.SetWorkspaces(now, workspaces)
 	ledgers := make([]*Ledger, 12)
 	for i := range ledgers {
-		ledgers[i] = NewLedger(DefaultLimits(), string(rune('a'+i)), "z", 1, now, rand.Float64)
+		ledgers[i] = NewLedger(DefaultLimits(), strconv.Itoa(i), "z", 1, now, rand.Float64)
 		ledgers[i].SetWorkspaces(now, workspaces)
 	}
 	b.ReportAllocs()
-	for range b.N {
+	for b.Loop() {
 		now = now.Add(CalmInterval)
 		for _, l := range ledgers {
 			for i := range 8 {
--- a/allotment/collector.go
+++ b/allotment/collector.go
@@ -65,6 +65,10 @@
 	if !counted {
 		return !resend
 	}
+	if !src.continued {
+		// The holder learns of the node's recent calls from a full report only.
+		c.sender.receiver = ""
+	}
 	for _, count := range r.Counts {
 		sum, ok := c.sums[count.Workspace]
 		if !ok {
--- a/allotment/entry.go
+++ b/allotment/entry.go
@@ -24,6 +24,9 @@
 	// _carefulAfter is the age of a state from which on a node admits little more
 	// than usual. Without faults, a newer state comes within 600 ms.
 	_carefulAfter = 700 * time.Millisecond
+	// _smallStaleAfter replaces StaleAfter where a node's share is less than
+	// _minWindowShare, so that nothing else bounds what it admits.
+	_smallStaleAfter = 1050 * time.Millisecond
 	// _minWindowShare is the number of calls in a window from which on a node's
 	// share bounds what it admits while no newer state comes. Demand for smaller
 	// shares is too uneven for that.
@@ -108,7 +111,7 @@
 	}
 	e.limits, e.fixed = w, fixed
 	e.refill(now)
-	e.setGuard()
+	e.setGuard(false)
 }
 
 // take decides on one call. If it is refused, wait is the expected time until
@@ -119,9 +122,13 @@
 	defer e.mu.Unlock()
 	e.asked++
 	jumped = e.asked-e.askedAtReport == e.jumpAt
+	staleAt := time.Unix(0, freshUntil)
+	if e.fixed.perWindow < _minWindowShare {
+		staleAt = staleAt.Add(_smallStaleAfter - StaleAfter)
+	}
 	switch left := time.Duration(freshUntil - now.UnixNano()); {
-	case left <= 0:
-		ok, wait = e.takeFixed(now, time.Unix(0, freshUntil), window)
+	case !now.Before(staleAt):
+		ok, wait = e.takeFixed(now, staleAt, window)
 	case left <= StaleAfter-_carefulAfter:
 		ok, wait = e.takeCarefully(now, window)
 	default:
@@ -133,7 +140,7 @@
 	}
 	e.admitted++
 	e.ring.add(now, window, 1)
-	e.byFixed = !now.Before(time.Unix(0, freshUntil))
+	e.byFixed = !now.Before(staleAt)
 	return true, 0, jumped
 }
 
@@ -167,7 +174,7 @@
 		// As if the workspace had just become scarce.
 		e.refill(now)
 		e.fraction = 1
-		e.setGuard()
+		e.setGuard(true)
 	}
 	if e.exceedsWindow(now, window, e.basis*window.Seconds()) {
 		return false, _repayTime
@@ -237,16 +244,16 @@
 	}
 }
 
-// setGuard sets the bounds of what may be admitted before the holder learns of
-// it.
-func (e *entry) setGuard() {
+// setGuard sets the bounds of what may be admitted before the holder learns of it;
+// with careful set, no more than the share.
+func (e *entry) setGuard(careful bool) {
 	if e.fraction >= _scarceFraction {
 		e.rate = _growth * max(e.basis, e.fixed.rate)
 		e.depth = max(_minCalmDepth, e.rate/_growth*_calmDepth.Seconds())
 	} else {
 		share := e.fraction * max(e.basis, e.fixed.rate/2)
 		e.rate, e.depth = share, _minScarceDepth
-		if e.fraction >= 1 {
+		if e.fraction >= 1 && !careful {
 			e.rate, e.depth = _scarceGrowth*share, _minScarceDepth*2
 		}
 		e.depth += share * _scarceDepth.Seconds()
@@ -295,7 +302,7 @@
 	if fresh {
 		e.refill(now)
 		e.fraction, e.basis = fraction, e.reportedUsual
-		e.setGuard()
+		e.setGuard(false)
 	}
 	refusing := !e.refusedAt.IsZero() && now.Sub(e.refusedAt) < _refusalEnd
 	if refusing == e.refusing {
--- a/allotment/holder.go
+++ b/allotment/holder.go
@@ -28,6 +28,13 @@
 	demand float64
 }
 
+// zoneState is when a zone was last heard.
+type zoneState struct {
+	heardAt time.Time
+	// silent is set if the demands don't include the zone any more.
+	silent bool
+}
+
 // Holder keeps the buckets of all workspaces. It is safe for concurrent use.
 type Holder struct {
 	limits Limits
@@ -45,13 +52,16 @@
 	vouchedSince time.Time
 	// updatedAt is when the levels were updated.
 	updatedAt time.Time
-	// heardAt is when each zone was last heard.
-	heardAt map[string]time.Time
+	// share is the share of each rate and burst that the nodes get which this
+	// holder hears from. The others keep a fixed share each.
+	share float64
+	// zones are those that were heard within the last window.
+	zones map[string]*zoneState
 }
 
 // NewHolder returns a holder that has heard from no collector.
 func NewHolder(limits Limits) *Holder {
-	return &Holder{limits: limits, sources: make(sources), buckets: make(map[WorkspaceID]*bucket), heardAt: make(map[string]time.Time), members: 1}
+	return &Holder{limits: limits, sources: make(sources), buckets: make(map[WorkspaceID]*bucket), zones: make(map[string]*zoneState), members: 1}
 }
 
 // SetWorkspaces sets the rates and bursts. They apply from then on; what was
@@ -107,8 +117,11 @@
 	if h.settlesAt.IsZero() {
 		h.settlesAt = now.Add(_settleTime)
 	}
-	elapsed := min(h.limits.Window, now.Sub(h.heardAt[r.Zone]))
-	h.heardAt[r.Zone] = now
+	elapsed := h.limits.Window
+	if state, ok := h.zones[r.Zone]; ok {
+		elapsed = min(elapsed, now.Sub(state.heardAt))
+	}
+	h.zones[r.Zone] = &zoneState{heardAt: now}
 	reserved := time.Duration(0)
 	if !zoneHeard {
 		reserved = elapsed * time.Duration(r.Nodes) / time.Duration(max(h.members, r.Nodes))
@@ -120,15 +133,16 @@
 			continue
 		}
 		zone := b.zone(r.Zone)
+		if src.continued {
+			zone.asked += asked
+			zone.admitted.add(now, h.limits.Window, admitted)
+			b.level -= float64(admitted)
+		}
 		if r.Full {
 			b.replace(now, h.limits.Window, zone, count.Recent, reserved)
-			continue
 		}
-		zone.asked += asked
-		zone.admitted.add(now, h.limits.Window, admitted)
-		b.level -= float64(admitted)
 	}
-	if !r.Full && elapsed > 0 {
+	if src.continued && elapsed > 0 {
 		h.updateDemand(r.Zone, elapsed)
 	}
 	return true
@@ -149,13 +163,9 @@
 	weight := 1 - math.Exp(-elapsed.Seconds()/_demandTime.Seconds())
 	for _, b := range h.buckets {
 		if zone, ok := b.zones[name]; ok {
+			before := zone.demand
 			zone.updateDemand(elapsed, weight)
-		}
-		b.demand = 0
-		for other, zone := range b.zones {
-			if h.sources.hasZone(other) {
-				b.demand += zone.demand
-			}
+			b.demand = max(0, b.demand+zone.demand-before)
 		}
 	}
 }
@@ -204,20 +214,19 @@
 // fraction returns which part of the demand may be admitted, 0 or more. A debt
 // is repaid before calls beyond it are admitted.
 func (h *Holder) fraction(b *bucket) float64 {
-	allowed := b.rate*h.heardShare() + b.level/_repayTime.Seconds()
+	allowed := b.rate*h.share + b.level/_repayTime.Seconds()
 	return max(0, allowed/max(b.demand, math.SmallestNonzeroFloat32))
 }
 
-// heardShare returns the share of each rate and burst that the nodes get which
-// this holder hears from. The others keep a fixed share each.
-func (h *Holder) heardShare() float64 {
-	heard, _ := h.sources.nodes(h.updatedAt, h.limits.Window)
-	return min(1, float64(heard)/float64(max(heard, h.members))*(1+_usableOverage*h.limits.Overage))
+// updateShare determines the share from the sources that aren't late.
+func (h *Holder) updateShare(now time.Time) {
+	heard, _ := h.sources.nodes(now, h.limits.Window)
+	h.share = min(1, float64(heard)/float64(max(heard, h.members, 1))*(1+_usableOverage*h.limits.Overage))
 }
 
 // depth returns how many tokens a bucket can hold.
 func (h *Holder) depth(b *bucket) float64 {
-	return (b.burst + _burstSlack*h.limits.Slack) * h.heardShare()
+	return (b.burst + _burstSlack*h.limits.Slack) * h.share
 }
 
 // update adds the tokens of the time that has passed.
@@ -227,26 +236,28 @@
 		h.settlesAt, h.settled = time.Time{}, false
 	}
 	elapsed := now.Sub(h.updatedAt)
+	if elapsed > 0 {
+		h.updatedAt = now
+		h.reserveLate(now)
+		h.forgetZones(now)
+	}
+	h.updateShare(now)
 	if elapsed <= 0 {
 		return
 	}
-	h.updatedAt = now
-	h.reserveLate(now)
-	h.forgetZones(now)
 	if !h.settled {
 		if !h.settlesAt.IsZero() && !now.Before(h.settlesAt) {
 			h.settle(now)
 		}
 		return
 	}
-	share := h.heardShare()
 	for _, b := range h.buckets {
-		b.level = min(h.depth(b), b.level+b.rate*share*elapsed.Seconds())
+		b.level = min(h.depth(b), b.level+b.rate*h.share*elapsed.Seconds())
 	}
 }
 
 // reserveLate charges the fixed shares of the nodes that weren't heard for a
-// while, from when they were last heard. From then on, heardShare leaves them
+// while, from when they were last heard. From then on, the share leaves them
 // out.
 func (h *Holder) reserveLate(now time.Time) {
 	for _, src := range h.sources {
@@ -262,15 +273,25 @@
 	}
 }
 
-// forgetZones drops what is known of zones whose counts have left the window.
+// forgetZones takes zones that weren't heard for too long out of the demands, and
+// drops what is known of those whose counts have left the window.
 func (h *Holder) forgetZones(now time.Time) {
-	for name, at := range h.heardAt {
-		if now.Sub(at) <= h.limits.Window {
-			continue
+	for name, state := range h.zones {
+		silence := now.Sub(state.heardAt)
+		if silence > StaleAfter && !state.silent {
+			state.silent = true
+			for _, b := range h.buckets {
+				if zone, ok := b.zones[name]; ok {
+					b.demand = max(0, b.demand-zone.demand)
+					zone.demand = 0
+				}
+			}
 		}
-		delete(h.heardAt, name)
-		for _, b := range h.buckets {
-			delete(b.zones, name)
+		if silence > h.limits.Window {
+			delete(h.zones, name)
+			for _, b := range h.buckets {
+				delete(b.zones, name)
+			}
 		}
 	}
 }
@@ -283,7 +304,6 @@
 	_, vouched := h.sources.nodes(now, h.limits.Window)
 	h.vouchedSince = now.Add(-vouched)
 	slot := h.limits.Window / _slots
-	share := h.heardShare()
 	for _, b := range h.buckets {
 		var counts [_slots]int64
 		for _, zone := range b.zones {
@@ -294,7 +314,7 @@
 		b.level = 0
 		for i := _slots - 1; i >= 0; i-- {
 			refill := min(slot, max(0, vouched-time.Duration(i)*slot))
-			b.level = min(h.depth(b), b.level+b.rate*share*refill.Seconds()-float64(counts[i]))
+			b.level = min(h.depth(b), b.level+b.rate*h.share*refill.Seconds()-float64(counts[i]))
 		}
 	}
 }
