call: Take invalid statuses for broken responses

Seen: an upstream that answers with the status 000 or 099 and a body that looks like a response: the caller of a command got 200 with what the body said, and a health check passed. 600 and 999 were passed on to callers. At the hop between nodes, 000 and 099 made the handler panic.

Cause: net/http accepts any three digits. The upstream's client skipped every status below 200 as informational and read on. The store's clients kept the connection after 600 and 999.

Change: a status below 100 or above 599 is no response, at the upstream (calls and health checks), at the hop, at the clients of the store and of the object API, and for control messages: the connection is closed, the outcome is unknown. Idempotent calls are sent again as after any broken response. 1xx are as before.

Tests: for 000, 099, 600 and 999 each; all six failed before. Control messages have no test of their own.

Measured: the tests pass 20 times with the race detector. The tests of call, platform, objectstore and peer pass save for TestStalledUploadIsAnsweredAtDeadline/Content-Length:_90000, which takes 1.5 s for a deadline of 0.5 s, as it does without this change.

--- a/call/dial.go
+++ b/call/dial.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lentilferry.example/lentilferry/common/dial"
+	"lentilferry.example/lentilferry/common/httpstatus"
 	"lentilferry.example/lentilferry/config"
 )
 
@@ -67,6 +68,20 @@
 	return conn != nil && conn.written.Load() == t.writtenBefore.Load()
 }
 
+// checkStatus returns an error for a response that is none because its status is
+// invalid, and ends the attempt's connection.
+func (t *writeTracker) checkStatus(response *http.Response) error {
+	err := httpstatus.Check(response.StatusCode)
+	if err != nil {
+		_ = response.Body.Close()
+		// The transport keeps a connection without a body to read.
+		if conn := t.conn.Load(); conn != nil {
+			_ = conn.Close()
+		}
+	}
+	return err
+}
+
 // process returns the number of the upstream process that the attempt was sent
 // to.
 func (t *writeTracker) process() uint64 {
--- a/call/ingress_call.go
+++ b/call/ingress_call.go
@@ -220,6 +220,9 @@
 		out.Header["Expect"] = []string{"100-continue"}
 	}
 	response, err := deps.Transport.RoundTrip(out)
+	if err == nil {
+		err = tracker.checkStatus(response)
+	}
 	if err != nil {
 		return nil, c.recordForwardFailure(ctx, endpoint, &tracker)
 	}
--- a/call/upstream_client.go
+++ b/call/upstream_client.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"lentilferry.example/lentilferry/common/dial"
+	"lentilferry.example/lentilferry/common/httpstatus"
 	"lentilferry.example/lentilferry/common/socket"
 )
 
@@ -201,6 +202,9 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read from upstream")
 		}
+		if err := httpstatus.Check(response.StatusCode); err != nil {
+			return nil, errors.Wrap(err, "read from upstream")
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
--- a/objectstore/objectstore_http.go
+++ b/objectstore/objectstore_http.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"lentilferry.example/lentilferry/common/httpstatus"
 )
 
 // Limits of calls to the platform.
@@ -62,7 +64,7 @@
 	}
 	return &HTTPClient{
 		base:         d.Base,
-		client:       &http.Client{Transport: d.Transport},
+		client:       &http.Client{Transport: httpstatus.Transport{Base: d.Transport}},
 		callTimeout:  d.CallTimeout,
 		watchTimeout: d.WatchTimeout,
 	}
--- a/peer/client.go
+++ b/peer/client.go
@@ -11,6 +11,7 @@
 
 	"connectrpc.com/connect"
 
+	"lentilferry.example/lentilferry/common/httpstatus"
 	"lentilferry.example/lentilferry/gen/lentilferry/v1/lentilferryv1connect"
 )
 
@@ -53,7 +54,7 @@
 // NewClients returns an empty cache whose clients use the given transport.
 func NewClients(transport http.RoundTripper) *Clients {
 	return &Clients{
-		http:      &http.Client{Transport: transport},
+		http:      &http.Client{Transport: httpstatus.Transport{Base: transport}},
 		byAddress: make(map[netip.AddrPort]lentilferryv1connect.PeerServiceClient),
 	}
 }
