--- a/routing/pool.go
+++ b/routing/pool.go
@@ -99,7 +99,7 @@
 	switch {
 	case m.Zone == p.zone:
 	case m.Region == p.region:
-		e.penalty, e.distance = _crossZonePenalty, _zoneRoundTrip
+		e.penalty, e.distance = _crossZonePenalty, _zoneRoundTrip+_zonePrice
 	default:
 		e.penalty, e.distance, e.bytePrice = _crossRegionPenalty, _regionRoundTrip+_regionPrice, float64(_regionBytePrice)
 	}
--- a/routing/reported_load.go
+++ b/routing/reported_load.go
@@ -41,10 +41,12 @@
 	// back, and _regionRoundTrip to another region.
 	_zoneRoundTrip   = 1800 * time.Microsecond
 	_regionRoundTrip = 40 * time.Millisecond
-	// _regionPrice is the cost of a call to another region beside the time, since
-	// the links are paid by volume. It cuts such calls to a third or half of what
-	// they are without it; as many calls are in time.
-	_regionPrice = 40 * time.Millisecond
+	// _zonePrice and _regionPrice are the costs of a call to another zone of the
+	// region and to another region beside the time, since the links are paid by
+	// volume. While all upstreams are busy, a lower price moves calls between
+	// regions without more of them being in time.
+	_zonePrice   = 10 * time.Millisecond
+	_regionPrice = 120 * time.Millisecond
 	// _regionBytePrice is the cost of each byte of a response from another region:
 	// a connection carries 3 MB/s over that distance, and the link is paid by
 	// volume.
