--- a/call/elsewhere.go
+++ b/call/elsewhere.go
@@ -64,9 +64,9 @@
 // reach any. One that was sent elsewhere may be tried once more.
 func (c *ingressCall) maxAttempts() int {
 	if c.sentElsewhere {
-		return _defaultMaxAttempts + _maxRefusals + 1
+		return config.MaxAttempts + 1
 	}
-	return _defaultMaxAttempts + _maxRefusals
+	return config.MaxAttempts
 }
 
 // recordTried records the result of an attempt for the choice of the next
--- a/common/faults/faults.go
+++ b/common/faults/faults.go
@@ -13,6 +13,8 @@
 	Field string
 	// Problem says what is wrong and how to fix it.
 	Problem string
+	// Line is the line of the input; 0 if it is not known.
+	Line int
 }
 
 // Error returns the field and the problem on one line.
--- a/config/config_yaml.go
+++ b/config/config_yaml.go
@@ -96,38 +96,76 @@
 // these are a fault, because only a rollout shifts traffic. The error is a
 // faults.List if the document can be parsed but is not valid.
 func ParseYAML(document []byte, current Config) (Config, error) {
+	raw, err := decodeYAML(document)
+	if err != nil {
+		return Config{}, err
+	}
+	c, found := convertYAML(raw, current)
+	if len(found) > 0 {
+		return Config{}, found
+	}
+	return c, nil
+}
+
+// syntaxError is the error of a document that can't be decoded. It has no cause,
+// since the decoder's error may contain keys.
+type syntaxError struct {
+	text string
+	// line is 0 if it is not known.
+	line int
+}
+
+func (e *syntaxError) Error() string { return e.text }
+
+// decodeYAML decodes a document. The error is a faults.List if it is too large,
+// otherwise a syntaxError.
+func decodeYAML(document []byte) (yamlConfig, error) {
 	if len(document) > MaxDocumentBytes {
 		var found faults.List
 		found.Addf("document", "has %d bytes; the maximum is %d", len(document), MaxDocumentBytes)
-		return Config{}, found
+		return yamlConfig{}, found
 	}
 	var raw yamlConfig
 	decoder := yaml.NewDecoder(bytes.NewReader(document), yaml.Strict())
 	if err := decoder.Decode(&raw); err != nil {
-		return Config{}, errors.Newf("document is not a valid configuration: %s", describeSyntaxError(document, err))
+		return yamlConfig{}, newSyntaxError(document, err)
 	}
+	return raw, nil
+}
+
+// convertYAML converts a decoded document and returns its faults.
+func convertYAML(raw yamlConfig, current Config) (Config, faults.List) {
 	p := yamlParser{current: current}
 	c := p.config(raw)
-	p.found = append(p.found, Check(c)...)
-	if len(p.found) > 0 {
-		return Config{}, p.found
-	}
-	return c, nil
+	return c, append(p.found, Check(c)...)
 }
 
-// describeSyntaxError returns why a document can't be parsed. The parser's own
-// text quotes the document, so that only the place is given where the document
-// has workspaces, whose keys the text could contain.
-func describeSyntaxError(document []byte, err error) string {
-	if !bytes.Contains(document, []byte("workspaces")) {
-		return strings.TrimSpace(yaml.FormatError(err, false, true))
+// newSyntaxError returns why a document can't be parsed. The parser's own text
+// quotes the document, so that only the place is given where the document has
+// workspaces, whose keys the text could contain.
+func newSyntaxError(document []byte, err error) *syntaxError {
+	const prefix = "document is not a valid configuration: "
+	line, column := locateError(err)
+	switch {
+	case !bytes.Contains(document, []byte("workspaces")):
+		return &syntaxError{text: prefix + strings.TrimSpace(yaml.FormatError(err, false, true)), line: line}
+	case line == 0:
+		return &syntaxError{text: prefix + "not shown, as the document may contain keys"}
+	default:
+		text := fmt.Sprintf("line %d, column %d is malformed or has an unknown field; not shown, as the document may contain keys", line, column)
+		return &syntaxError{text: prefix + text, line: line}
 	}
+}
+
+// locateError returns the line and column of a parser's error, zeros if it has
+// none.
+func locateError(err error) (line, column int) {
 	var located yaml.Error
 	if !errors.As(err, &located) || located.GetToken() == nil || located.GetToken().Position == nil {
-		return "not shown, as the document may contain keys"
+		return 0, 0
 	}
 	position := located.GetToken().Position
-	return fmt.Sprintf("line %d, column %d is malformed or has an unknown field; not shown, as the document may contain keys", position.Line, position.Column)
+	return position.Line, position.Column
 }
 
 // yamlParser converts a parsed document to a configuration and collects its
