commands: Add 'config check'

'config validate' asks no node and refuses a file that leaves the weights out; 'config diff' compares only a file without errors. Neither warns of entries that have no effect.

--- a/commands/state.go
+++ b/commands/state.go
@@ -122,11 +122,12 @@
 	flags := ff.NewFlagSet("config").SetParent(parent)
 	return &ff.Command{
 		Name:      "config",
-		Usage:     "lentilferry config validate|diff|apply|get",
+		Usage:     "lentilferry config validate|check|diff|apply|get",
 		ShortHelp: "check, compare, apply or read the configuration",
 		Flags:     flags,
 		Subcommands: []*ff.Command{
 			c.validateCommand(flags),
+			c.checkCommand(flags),
 			c.documentCommand(flags, "diff", "compare a file with the configuration in force", true),
 			c.documentCommand(flags, "apply", "make a file the configuration in force", false),
 			c.getCommand(flags),
