pipeline: Break responses of which a write has failed

A handler whose response waits for its turn gets an error from Write when the budget has no room until its write deadline. If it returned normally or wrote on, the response was sent without the failed part: with a Content-Length that counted the part, so that the caller took the responses behind it for the body, or as a whole chunked body with a gap. The call address wasn't affected, since its handlers abort after a failed write.

Such a response is now broken: further writes fail, and the connection closes after the responses before it. TestFailedWriteBreaksResponse failed before (the second write returned nil, and a response was sent).

--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -579,6 +579,33 @@
 	c.expectEnd()
 }
 
+// A response of which a write has failed is broken, whatever its handler does next:
+// with a part missing, its length would be wrong, and what comes behind it would be
+// taken for its body.
+func TestFailedWriteBreaksResponse(t *testing.T) {
+	proceed, failed := make(chan struct{}), make(chan error, 1)
+	s := newTestServer(t, _testDepth, func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/1":
+			<-proceed
+		case "/2":
+			controller := http.NewResponseController(w)
+			_ = controller.SetWriteDeadline(time.Now().Add(_absence))
+			_, err := w.Write(make([]byte, _testBudgetBytes))
+			failed <- err
+			_, err = io.WriteString(w, "rest")
+			failed <- err
+		}
+	})
+	c := s.dial(t)
+	c.send(get("/1", "/2", "/3"))
+	assert.ErrorIs(t, <-failed, os.ErrDeadlineExceeded)
+	assert.Check(t, <-failed != nil)
+	close(proceed)
+	c.expect("")
+	c.expectEnd()
+}
+
 // Without room in the budget, requests are handled one after the other.
 func TestNoTakeoverWithoutBudget(t *testing.T) {
 	g := newGates()
--- a/pipeline/response.go
+++ b/pipeline/response.go
@@ -61,8 +61,8 @@
 	headBytes int
 	mustWait  bool
 	// isTurn is set when turn is closed. hasHead is set when the headers were
-	// written, wantsFlush when the handler has flushed. isBroken is set when the
-	// rest of the response will never come.
+	// written, wantsFlush when the handler has flushed. isBroken is set when a part
+	// of the response will never come.
 	isTurn, hasHead, wantsFlush, isBroken bool
 	// chunks writes the body if it is chunked; nil otherwise.
 	chunks io.WriteCloser
@@ -156,6 +156,8 @@
 		r.writeHeader(http.StatusOK)
 	}
 	switch {
+	case r.isBroken:
+		return 0, errBroken
 	case len(p) == 0:
 		return 0, nil
 	case !mayHaveBody(r.status):
@@ -174,6 +176,7 @@
 		return len(p), nil
 	}
 	if err := r.awaitTurn(); err != nil {
+		r.isBroken = true
 		return 0, err
 	}
 	return r.writeInTurn(p)
@@ -460,7 +463,7 @@
 		isBroken = true
 	}
 	isShort := r.length >= 0 && r.writtenBytes != r.length && mayHaveBody(r.status) && r.request.Method != http.MethodHead
-	r.isBroken = isBroken || isShort
+	r.isBroken = r.isBroken || isBroken || isShort
 	if r.isBroken {
 		r.pipe.cancelAfter(r)
 	}
