intake, pipeline: Count header sections on returned connections

When the pipeline gave a connection back to the server, the guard took it for one whose request had been read until its next response was complete. So the header section that followed counted nothing and could not be ended, and HTTP/2 that began there counted only its complete requests. A client could hold any number of header sections of 64 KB (1.5 MB in short lines) after two pipelined requests on each connection.

Such a connection now counts like a new one, with the bytes that the pipeline has read of it. TestHeadersOnReturnedConnectionAreCounted failed before with HeaderBytes 0 for HTTP/1.1 after an idle time and for HTTP/2; TestReturnedConnectionCountsAnew failed for the bytes that are held.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -152,18 +152,24 @@
 		g.mu.Unlock()
 		return false
 	}
-	c.detectHTTP2(read)
 	if c.phase == _idle {
 		g.startReading(c)
 	}
+	c.addRead(read)
+	g.charge(c)
+	return g.enforce(c)
+}
+
+// addRead adds the cost of bytes of a header section. The caller holds the guard's
+// mutex.
+func (c *Conn) addRead(read []byte) {
+	c.detectHTTP2(read)
 	if c.isHTTP2 {
 		c.lastReadCost = min(_maxHTTP2Cost, _costPerHTTP2Byte*int64(len(read)))
 		c.cost = min(_maxHTTP2Cost, c.cost+c.lastReadCost)
 	} else {
 		c.cost += _costPerByte*int64(len(read)) + _costPerLine*int64(bytes.Count(read, []byte{'\n'}))
 	}
-	g.charge(c)
-	return g.enforce(c)
 }
 
 // enforce ends connections to stay within the limits, and waits until they are
@@ -251,11 +257,29 @@
 		c.phase = _takenOver
 		c.uncounted.Store(true)
 	case http.StateNew, http.StateClosed:
-		// Recorded by Accept and Close.
+		// Recorded by Accept, trackReturn and Close.
 	}
 	g.charge(c)
 }
 
+// trackReturn records that a server serves a connection that was taken over from
+// it before, as a new one. unread is what has been read of the connection and not
+// been served. The next read that counts ends connections if that is too much.
+func (g *Guard) trackReturn(c *Conn, unread []byte) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.phase == _removed || c.phase == _reading {
+		return
+	}
+	// The server looks for the preface of HTTP/2 once more.
+	c.prefaceBytes, c.prefaceEnded = 0, false
+	c.requestEnded()
+	c.addRead(unread)
+	g.startReading(c)
+	c.uncounted.Store(false)
+	g.charge(c)
+}
+
 // requestEnded frees what is known to belong to requests that were read. The
 // newest bytes of an HTTP/2 connection may belong to the next one. The caller
 // holds the guard's mutex.
--- a/intake/guard.go
+++ b/intake/guard.go
@@ -76,7 +76,9 @@
 // server that are set later must call those that Protect has set. A share of
 // the limit on connections is reserved for the address. If the server serves
 // another listener that wraps the returned one, its connections must have a
-// method NetConn that returns the wrapped connection.
+// method NetConn that returns the wrapped connection. A connection that was taken
+// over from the server may be served by it again, with its state http.StateNew; a
+// method Unread of it returns the bytes that were read and not served.
 func (g *Guard) Protect(name string, server *http.Server, listener net.Listener, share float64) net.Listener {
 	a := &address{name: name, reserved: int(share * float64(g.limits.Conns)), reading: list.New(), idle: list.New()}
 	g.mu.Lock()
--- a/intake/guard_test.go
+++ b/intake/guard_test.go
@@ -170,6 +170,40 @@
 	assert.Equal(t, counts.Open, 1)
 }
 
+// heldBack is a connection of which bytes were read that the server gets.
+type heldBack struct {
+	net.Conn
+	unread []byte
+}
+
+func (h heldBack) NetConn() net.Conn { return h.Conn }
+func (h heldBack) Unread() []byte    { return h.unread }
+
+// A connection that was taken over and is served anew counts from there: what its
+// wrapper holds of the next header section, what is read, and also as HTTP/2.
+func TestReturnedConnectionCountsAnew(t *testing.T) {
+	f := newFixture(t, intake.Limits{HeaderBytes: 1 << 20, Conns: 100}, map[string]float64{"a": 0.1})
+	for _, next := range []string{_head, "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + strings.Repeat("x", 300)} {
+		held, read := f.connect("a"), f.connect("a")
+		for _, c := range []*client{held, read} {
+			assert.Assert(t, c.send(_head))
+			c.report(http.StateActive)
+			c.report(http.StateIdle)
+			c.report(http.StateActive)
+		}
+		assert.Equal(t, f.guard.Counts().HeaderBytes, int64(0))
+		held.server.ConnState(heldBack{held.conn, []byte(next)}, http.StateNew)
+		counted := f.guard.Counts().HeaderBytes
+		assert.Assert(t, counted > 0)
+		read.report(http.StateNew)
+		assert.Assert(t, read.send(next))
+		assert.Equal(t, f.guard.Counts().HeaderBytes, 2*counted)
+		assert.NilError(t, held.conn.Close())
+		assert.NilError(t, read.conn.Close())
+		assert.Equal(t, f.guard.Counts().HeaderBytes, int64(0))
+	}
+}
+
 // Bodies are bounded elsewhere.
 func TestBodiesAreNotCounted(t *testing.T) {
 	f := newFixture(t, intake.Limits{HeaderBytes: 30_000, Conns: 100}, map[string]float64{"a": 0.1})
--- a/intake/hooks.go
+++ b/intake/hooks.go
@@ -22,6 +22,15 @@
 	}
 }
 
+// unreadOf returns the bytes that a wrapper of a guarded connection has read of it
+// and holds for the server.
+func unreadOf(conn net.Conn) []byte {
+	if c, ok := conn.(interface{ Unread() []byte }); ok {
+		return c.Unread()
+	}
+	return nil
+}
+
 // hook sets the server's hooks, which call those that were set before.
 func (g *Guard) hook(server *http.Server) {
 	handler, connState, connContext := server.Handler, server.ConnState, server.ConnContext
@@ -35,6 +44,9 @@
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		if c, ok := find(conn); ok {
 			g.trackState(c, state)
+			if state == http.StateNew {
+				g.trackReturn(c, unreadOf(conn))
+			}
 		}
 		if connState != nil {
 			connState(conn, state)
--- a/node/pipelined_conns_test.go
+++ b/node/pipelined_conns_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"lentilferry.example/lentilferry/call"
+	"lentilferry.example/lentilferry/intake"
 	"lentilferry.example/lentilferry/pipeline"
 )
 
@@ -60,3 +62,63 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Guards against header sections that the guard doesn't count, since they come on a
+// connection that the pipeline has given back to the server.
+func TestHeadersOnReturnedConnectionAreCounted(t *testing.T) {
+	const pair = "GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	section := "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a: b\r\n", 200)
+	// A frame whose header block is incomplete.
+	streams := "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + "\x00\x00\x00\x04\x00\x00\x00\x00\x00" +
+		"\x00\x20\x00\x01\x00\x00\x00\x00\x01" + strings.Repeat("\x00", 400)
+	for name, parts := range map[string][]string{
+		"with the requests before it": {pair + section},
+		"after an idle time":          {pair, section},
+		"HTTP/2":                      {pair, streams},
+	} {
+		t.Run(name, func(t *testing.T) {
+			guard := intake.New(intake.Limits{HeaderBytes: 1 << 20, Conns: 100}, klog.Background(), time.Now)
+			var protocols http.Protocols
+			protocols.SetHTTP1(true)
+			protocols.SetUnencryptedHTTP2(true)
+			server := &http.Server{
+				Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), Protocols: &protocols, ReadHeaderTimeout: time.Minute,
+			}
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			pipelines := pipeline.New(pipeline.Dependencies{
+				Depth: 2, IsIdempotent: func(*http.Request) bool { return true }, Budget: call.NewBufferBudget(1 << 20), Logger: klog.Background(),
+			})
+			attached := pipelines.Attach(server, guard.Protect("calls", server, listener, 1))
+			go func() { _ = server.Serve(attached) }()
+			t.Cleanup(func() { _ = server.Close() })
+			caller, err := net.Dial("tcp", listener.Addr().String())
+			assert.NilError(t, err)
+			defer func() { _ = caller.Close() }()
+			assert.NilError(t, caller.SetDeadline(time.Now().Add(10*time.Second)))
+			reader := bufio.NewReader(caller)
+			for i, part := range parts {
+				_, err = io.WriteString(caller, part)
+				assert.NilError(t, err)
+				for range 2 * (1 - i) {
+					response, err := http.ReadResponse(reader, nil)
+					assert.NilError(t, err)
+					assert.NilError(t, response.Body.Close())
+				}
+			}
+			assert.Equal(t, pipelines.TakenOverCount(), uint64(1))
+			awaitCounts(t, guard, func(c intake.Counts) bool { return c.HeaderBytes > 0 })
+			assert.NilError(t, caller.Close())
+			awaitCounts(t, guard, func(c intake.Counts) bool { return c == intake.Counts{} })
+		})
+	}
+}
+
+func awaitCounts(t *testing.T, guard *intake.Guard, condition func(intake.Counts) bool) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); !condition(guard.Counts()); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("the counts stay at %+v", guard.Counts())
+		}
+	}
+}
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -183,6 +183,14 @@
 	return len(c.unread)
 }
 
+// Unread returns a copy of the bytes that were received and that Read has not
+// returned yet.
+func (c *Conn) Unread() []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return bytes.Clone(c.unread)
+}
+
 // expectBody announces a body of n bytes behind the header section that Read has
 // returned last. It returns false unless all of it has been received.
 func (c *Conn) expectBody(n int64) bool {
