call: Bound writes of short responses that are not buffered

A response of at most 256 KB got no write deadline, since it is buffered and its slot is free before it is written. When the budget has no room it isn't buffered, so a caller that didn't read, or a pipelined response that waited for its turn, held the slot of the upstream for up to 30 s beyond the longest call.

The deadline now depends on whether the response was buffered. TestResponsesThatHoldSlotsHaveWriteDeadline failed before for a response with a length and no room in the budget.

--- a/call/body.go
+++ b/call/body.go
@@ -258,7 +258,8 @@
 // caller's deadline. A caller that stops reading would otherwise hold the
 // upstream's slot. The returned function removes the bound.
 func setWriteDeadline(w http.ResponseWriter, r *http.Request, response *http.Response, deadline time.Time) func() {
-	if r.ProtoMajor != 1 || response.ContentLength >= 0 && response.ContentLength <= _maxBufferedResponseBytes {
+	// A short response may not be buffered, for lack of room in the budget.
+	if _, isBuffered := response.Body.(*bufferedBody); isBuffered || r.ProtoMajor != 1 {
 		return func() {}
 	}
 	controller := http.NewResponseController(w)
