pipeline: Leave requests with bare line feeds to the server

A header section was taken to last until the first empty line with CR and LF, but http.ReadRequest also ends it at one with LF only. What came between was dropped: whole requests, also ones that aren't idempotent, which got no response, or the beginning of a body in whose place the next request was read. Responses then belonged to other requests than the caller or a proxy before the node thought.

A section that the parser doesn't read to its end is now left to the server. TestBareLineFeedsAfterTakeover failed before in all four cases, for example with the body "/xGET /" in place of "/xprint".

--- a/pipeline/pipe.go
+++ b/pipeline/pipe.go
@@ -168,9 +168,12 @@
 // parseNext sets the next request, whose header section has the given length. It
 // returns false if the request has not arrived whole or is left to the http.Server.
 func (p *pipe) parseNext(end int) bool {
-	p.parser.Reset(bytes.NewReader(p.in[:end]))
+	section := bytes.NewReader(p.in[:end])
+	p.parser.Reset(section)
 	request, err := http.ReadRequest(p.parser)
-	if err != nil || !isPlain(request) || !isWellFormed(request) ||
+	// A section whose lines end with a line feed only ends before _headEnd.
+	isWhole := section.Len() == 0 && p.parser.Buffered() == 0
+	if err != nil || !isWhole || !isPlain(request) || !isWellFormed(request) ||
 		end > p.server.maxHeaderBytes() || end+int(request.ContentLength) > _aheadBytes {
 		p.mustWait = true
 		return false
--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -419,6 +419,31 @@
 	}
 }
 
+// Guards against bytes that are lost or taken for a part of another request behind
+// header sections whose lines end with a line feed only, which an http.Server takes.
+func TestBareLineFeedsAfterTakeover(t *testing.T) {
+	for name, test := range map[string]struct {
+		requests string
+		bodies   []string
+	}{
+		"no body":        {"GET /x HTTP/1.1\nHost: h\n\n", []string{"/x"}},
+		"body":           {"POST /x HTTP/1.1\nHost: h\nContent-Length: 5\n\nprint", []string{"/xprint"}},
+		"mixed endings":  {"GET /x HTTP/1.1\r\nHost: h\r\n\nPOST /once HTTP/1.1\r\nHost: h\r\n\n", []string{"/x", "/once"}},
+		"not idempotent": {"GET /x HTTP/1.1\nHost: h\n\nPOST /once HTTP/1.1\nHost: h\n\n", []string{"/x", "/once"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newGates()
+			s := newTestServer(t, _testDepth, g.ServeHTTP)
+			g.open("/1", "/2", "/3", "/4", "/x", "/once")
+			c := s.dial(t)
+			c.send(get("/1", "/2") + test.requests + get("/3", "/4"))
+			c.expect("/1", "/2")
+			c.expect(test.bodies...)
+			c.expect("/3", "/4")
+		})
+	}
+}
+
 // A body that the caller sends only when asked is asked for in its turn.
 func TestExpectContinueAfterTakeover(t *testing.T) {
 	g := newGates()
