--- a/pipeline/pipe.go
+++ b/pipeline/pipe.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"os"
-	"strings"
 	"sync"
 	"time"
 
@@ -48,9 +47,10 @@
 	// buffer is the memory of in once more was read; nil before.
 	buffer []byte
 	// next is the next request if it has arrived and may be handled at the same
-	// time as others, and nextBytes its length.
-	next      *http.Request
-	nextBytes int
+	// time as others, nextBytes its length, and nextCost what is reserved of the
+	// budget for it. All are the zero value otherwise.
+	next                *http.Request
+	nextBytes, nextCost int
 	// mustWait is set when the next request is left to the http.Server.
 	mustWait bool
 	// blankBytes is how many bytes of empty lines may come before the next request.
@@ -133,92 +133,20 @@
 	}
 }
 
-// findNext looks for the next request in what was read. A request is parsed only
-// when its header section has arrived whole, and left to the http.Server when
-// anything about it is unusual, so that it is answered there.
-func (p *pipe) findNext() {
-	if p.next != nil || p.mustWait {
-		return
-	}
-	p.skipBlanks()
-	end := bytes.Index(p.in, _headEnd)
-	if end < 0 {
-		return
-	}
-	end += len(_headEnd)
-	p.parser.Reset(bytes.NewReader(p.in[:end]))
-	request, err := http.ReadRequest(p.parser)
-	if err != nil || !isPlain(request) || !isWellFormed(request) ||
-		end > p.server.maxHeaderBytes() || end+int(request.ContentLength) > _aheadBytes {
-		p.mustWait = true
-		return
-	}
-	total := end + int(request.ContentLength)
-	if len(p.in) < total {
-		return
-	}
-	request.RemoteAddr = p.conn.RemoteAddr().String()
-	if !p.server.deps.IsIdempotent(request) {
-		p.mustWait = true
-		return
-	}
-	request.Body = http.NoBody
-	if total > end {
-		request.Body = io.NopCloser(bytes.NewReader(bytes.Clone(p.in[end:total])))
-	}
-	p.next, p.nextBytes = request, total
-}
-
-// _maxBlankBytes bounds the empty lines that are skipped after a POST request, as an
-// http.Server does for callers that end bodies with a line break.
-const _maxBlankBytes = 4
-
-func (p *pipe) allowBlanks(last *http.Request) {
-	p.blankBytes = 0
-	if last.Method == http.MethodPost {
-		p.blankBytes = _maxBlankBytes
-	}
-}
-
-// skipBlanks removes empty lines before the next request.
-func (p *pipe) skipBlanks() {
-	for ; p.blankBytes > 0 && len(p.in) > 0; p.blankBytes-- {
-		if p.in[0] != '\r' && p.in[0] != '\n' {
-			p.blankBytes = 0
-			return
-		}
-		p.in = p.in[1:]
-	}
-}
-
-// isWellFormed reports whether a request passes the checks that an http.Server
-// makes beyond http.ReadRequest. It may return false for one that passes.
-func isWellFormed(r *http.Request) bool {
-	for _, b := range []byte(r.Host) {
-		isLetter := b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b >= '0' && b <= '9'
-		if !isLetter && strings.IndexByte("-._:[]", b) < 0 {
-			return false
-		}
-	}
-	for name := range r.Header {
-		if strings.Contains(name, " ") {
-			return false
-		}
-	}
-	return r.Host != "" && strings.HasPrefix(r.RequestURI, "/")
-}
-
 // begin handles the next request in a goroutine of its own.
 func (p *pipe) begin() {
-	request := p.next
-	p.in, p.next = p.in[p.nextBytes:], nil
+	request, cost := p.next, p.nextCost
+	p.in = p.in[p.nextBytes:]
+	p.next, p.nextBytes, p.nextCost = nil, 0, 0
 	p.allowBlanks(request)
 	ctx, cancel := context.WithCancel(p.conn.baseContext)
 	request = request.WithContext(ctx)
 	r := newResponse(p, request, make(http.Header), cancel)
+	r.requestCost = cost
 	p.mu.Lock()
 	if p.isLast || p.isBroken {
 		p.mu.Unlock()
+		p.server.deps.Budget.Release(cost)
 		cancel()
 		return
 	}
@@ -382,6 +310,7 @@
 func (p *pipe) removeFirst() *response {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.server.deps.Budget.Release(p.queue[0].requestCost)
 	p.queue[0] = nil
 	p.queue = p.queue[1:]
 	if len(p.queue) == 0 || p.wantsPlace {
@@ -397,7 +326,7 @@
 // responses were sent.
 func (p *pipe) end() {
 	defer p.server.remove(p)
-	p.server.deps.Budget.Release(_aheadBytes)
+	p.server.deps.Budget.Release(_aheadBytes + p.nextCost)
 	p.mu.Lock()
 	isBroken, isLast := p.isBroken, p.isLast
 	p.mu.Unlock()
--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -419,6 +419,31 @@
 	}
 }
 
+// Guards against bytes that are lost or taken for a part of another request behind
+// header sections whose lines end with a line feed only, which an http.Server takes.
+func TestBareLineFeedsAfterTakeover(t *testing.T) {
+	for name, test := range map[string]struct {
+		requests string
+		bodies   []string
+	}{
+		"no body":        {"GET /x HTTP/1.1\nHost: h\n\n", []string{"/x"}},
+		"body":           {"POST /x HTTP/1.1\nHost: h\nContent-Length: 5\n\nprint", []string{"/xprint"}},
+		"mixed endings":  {"GET /x HTTP/1.1\r\nHost: h\r\n\nPOST /once HTTP/1.1\r\nHost: h\r\n\n", []string{"/x", "/once"}},
+		"not idempotent": {"GET /x HTTP/1.1\nHost: h\n\nPOST /once HTTP/1.1\nHost: h\n\n", []string{"/x", "/once"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newGates()
+			s := newTestServer(t, _testDepth, g.ServeHTTP)
+			g.open("/1", "/2", "/3", "/4", "/x", "/once")
+			c := s.dial(t)
+			c.send(get("/1", "/2") + test.requests + get("/3", "/4"))
+			c.expect("/1", "/2")
+			c.expect(test.bodies...)
+			c.expect("/3", "/4")
+		})
+	}
+}
+
 // A body that the caller sends only when asked is asked for in its turn.
 func TestExpectContinueAfterTakeover(t *testing.T) {
 	g := newGates()
@@ -579,6 +604,58 @@
 	c.expectEnd()
 }
 
+// A response of which a write has failed is broken, whatever its handler does next:
+// with a part missing, its length would be wrong, and what comes behind it would be
+// taken for its body.
+func TestFailedWriteBreaksResponse(t *testing.T) {
+	proceed, failed := make(chan struct{}), make(chan error, 1)
+	s := newTestServer(t, _testDepth, func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/1":
+			<-proceed
+		case "/2":
+			controller := http.NewResponseController(w)
+			_ = controller.SetWriteDeadline(time.Now().Add(_absence))
+			_, err := w.Write(make([]byte, _testBudgetBytes))
+			failed <- err
+			_, err = io.WriteString(w, "rest")
+			failed <- err
+		}
+	})
+	c := s.dial(t)
+	c.send(get("/1", "/2", "/3"))
+	assert.ErrorIs(t, <-failed, os.ErrDeadlineExceeded)
+	assert.Check(t, <-failed != nil)
+	close(proceed)
+	c.expect("")
+	c.expectEnd()
+}
+
+// Guards against pipelined requests whose header sections take any amount of memory:
+// short lines take many times their size. What the budget has no room for is handled
+// alone, by the server, whose own limits apply.
+func TestBudgetBoundsRequestHeaders(t *testing.T) {
+	const requests = 6
+	g := newGates()
+	s := newTestServer(t, _testDepth, g.ServeHTTP)
+	c := s.dial(t)
+	var text, paths []string
+	for n := range requests {
+		path := fmt.Sprintf("/%d", n)
+		paths = append(paths, path)
+		text = append(text, "GET "+path+" HTTP/1.1\r\nHost: h\r\n"+strings.Repeat("a:\r\n", 1900)+"\r\n")
+	}
+	// The first request counts elsewhere, as the server has read it.
+	const perRequest = 1900 * 128
+	go func() { _, _ = io.WriteString(c, strings.Join(text, "")) }()
+	await(t, func() bool { return s.budget.Held() > 4*perRequest })
+	g.awaitBegan(t, 5)
+	assert.Check(t, s.budget.Held() <= _testBudgetBytes, s.budget.Held())
+	g.open(paths...)
+	c.expect(paths...)
+	assert.Equal(t, s.AheadCount(), uint64(4))
+}
+
 // Without room in the budget, requests are handled one after the other.
 func TestNoTakeoverWithoutBudget(t *testing.T) {
 	g := newGates()
