call: Bound the Retry-After of calls beyond the allotment

Callers got a 429 whose Retry-After was up to the allotment window of 5 s, also when they had less than a second left. Only the delay of 503 was bounded to a third of the caller's remaining time. The ingress now bounds both, and spreads the bound.

TestAllotmentRetryAfterLeavesTime failed with 1.5 s for a caller with 900 ms left; it is 0.3 s at most now. TestAllotmentCoversPublicRoutes states what held before: a call on a public route that carries a key counts for its workspace, and is refused when the allotment is used up.

--- a/call/ingress.go
+++ b/call/ingress.go
@@ -162,7 +162,9 @@
 		return
 	}
 	if ok, retryAfter := i.takeAllotment(now, a.workspace); !ok {
-		i.refuse(w, r, Result{Outcome: NotRun, Reason: ReasonAllotment, RetryAfter: retryAfter})
+		// Callers honour no longer delay than retryAfterHint gives at most.
+		longest := retryAfterHint(a.callerRemaining, a.callerRemaining, rand.Float64())
+		i.refuse(w, r, Result{Outcome: NotRun, Reason: ReasonAllotment, RetryAfter: min(retryAfter, longest)})
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), now.Add(a.remaining))
--- a/call/workspace_test.go
+++ b/call/workspace_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -332,6 +333,52 @@
 	assert.Equal(t, allotments.left["acme"], 1)
 }
 
+// Guards against a 429 whose Retry-After is longer than callers honour: it is at
+// most a third of the time that the caller has left.
+func TestAllotmentRetryAfterLeavesTime(t *testing.T) {
+	cluster := newHostedCluster(t, _longTimeout, serveUpstream(t, &headerRecorder{}))
+	cluster.ingressDependencies.Allotments = &countingAllotments{}
+	cluster.useWorkspaces(t, workspace("acme", "k1"))
+	retryAfter := func(leftMillis string) float64 {
+		request := newRequest(t, http.MethodGet, cluster.url+"/", nil)
+		request.Header.Set("Authorization", "Token k1")
+		request.Header.Set("X-Attempt-Id", "a1")
+		request.Header.Set("X-Deadline-Ms", leftMillis)
+		got := sendRequest(t, request)
+		assert.Equal(t, got.status, http.StatusTooManyRequests)
+		seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		return seconds
+	}
+	assert.Equal(t, retryAfter("9000"), 1.5)
+	first := retryAfter("900")
+	assert.Assert(t, first > 0 && first <= 0.3, "%g s", first)
+	differs := false
+	for range 20 {
+		differs = differs || retryAfter("900") != first
+	}
+	assert.Assert(t, differs, "callers that are refused together come back together")
+}
+
+// A call on a public route that carries a key counts for its workspace, also when
+// the allotment is used up: the bound covers all calls of the workspace.
+func TestAllotmentCoversPublicRoutes(t *testing.T) {
+	recorder := &headerRecorder{}
+	cluster := newTestCluster(t, _longTimeout, serveUpstream(t, recorder))
+	cluster.ingressDependencies.Allotments = &countingAllotments{left: map[config.WorkspaceName]int{"acme": 1}}
+	cluster.useWorkspaces(t, workspace("acme", "k1"))
+	status := func(authorization string) int {
+		request := newRequest(t, http.MethodGet, cluster.url+"/commands", nil)
+		request.Header.Set("Authorization", authorization)
+		return sendRequest(t, request).status
+	}
+	assert.Equal(t, status("Token k1"), http.StatusOK)
+	assert.Equal(t, status("Token k1"), http.StatusTooManyRequests)
+	assert.Equal(t, status(""), http.StatusOK)
+	assert.Equal(t, status("Token unknown"), http.StatusOK)
+	assert.Equal(t, recorder.calls(), 3)
+}
+
 // The key is in no log line, metric or response of the system's own.
 func TestKeyIsNotDisclosed(t *testing.T) {
 	const key = "very-secret-key"
