allotment: Admit calls of workspaces with extreme rates

While fixed shares were in force, each call of a workspace with a rate above about 1e9 a second for each node, as given to mean "no limit", ended with a panic: the interval of the share was 0, and is a divisor. A rate of 1e-12 overflowed it, and admitted all calls. The interval is at least 1 ns now, and what follows from a rate at most 100 years.

TestExtremeRates panicked with an integer divide by zero, and with only the first bound in place counted 3 calls of 3 admitted at a rate of 1e-12.

--- a/allotment/allotment_test.go
+++ b/allotment/allotment_test.go
@@ -306,3 +306,26 @@
 		collector.Apply(now, "h", r.Sequence, holder.State(now))
 	}
 }
+
+// Guards against a fixed share that can't be computed: a rate that is given to
+// mean "no limit", or one of far less than a call a year, made Take panic or
+// admit all calls.
+func TestExtremeRates(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	for _, test := range []struct {
+		rate     float64
+		admitted int
+	}{{1e10, 3}, {1e15, 3}, {1e-12, 1}} {
+		l := NewLedger(DefaultLimits(), "n", "z", 1, start, rand.Float64)
+		l.SetWorkspaces(start, []config.Workspace{{Name: "w", Rate: test.rate, Burst: 1}})
+		admitted := 0
+		for i := range 3 {
+			ok, retryAfter := l.Take(start.Add(time.Duration(i+1)*time.Second), "w")
+			assert.Assert(t, ok || retryAfter == l.limits.Window, "rate %g: %s", test.rate, retryAfter)
+			if ok {
+				admitted++
+			}
+		}
+		assert.Equal(t, admitted, test.admitted, "rate %g", test.rate)
+	}
+}
--- a/allotment/entry.go
+++ b/allotment/entry.go
@@ -315,6 +315,10 @@
 	return refusalEnded
 }
 
+// _maxDuration bounds durations that follow from a rate, so that times can still
+// be computed with them.
+const _maxDuration = 100 * 365 * 24 * time.Hour
+
 func seconds(s float64) time.Duration {
-	return time.Duration(s * float64(time.Second))
+	return time.Duration(min(s*float64(time.Second), float64(_maxDuration)))
 }
--- a/allotment/ledger.go
+++ b/allotment/ledger.go
@@ -154,7 +154,7 @@
 	nodes := float64(l.nodes)
 	burst := w.Burst + _fallbackSlack*l.limits.Slack
 	return fixedShare{
-		interval:  seconds(nodes / w.Rate),
+		interval:  max(1, seconds(nodes/w.Rate)),
 		validity:  seconds(burst / w.Rate),
 		rate:      w.Rate / nodes,
 		perWindow: (w.Rate*l.limits.Window.Seconds() + burst) / nodes,
