admission: Serve starved levels whose calls are all late

An urgent route whose objective was shorter than its work at an upstream got no slot in overload: all of its calls are late, wait behind those in time, and findStarved only looked for levels less urgent than the first. It now looks at all of them.

--- a/admission/cost.go
+++ b/admission/cost.go
@@ -93,7 +93,8 @@
 }
 
 // findStarved returns the position of the first waiting call whose level is
-// starved, 0 if there is none.
+// starved, 0 if there is none. It may be of a more urgent level than the calls
+// before it, all of whose calls are late.
 func (g *Gate) findStarved(now time.Time) int {
 	first := g.waiting[0].level
 	checked := first
@@ -102,7 +103,7 @@
 			continue
 		}
 		checked = t.level
-		if t.level > first && g.shares.isStarved(now, t.level) {
+		if t.level != first && g.shares.isStarved(now, t.level) {
 			return i
 		}
 	}
--- a/admission/cost_test.go
+++ b/admission/cost_test.go
@@ -141,6 +141,22 @@
 	assert.Assert(t, shares["urgent"].served > shares["last"].served)
 }
 
+// Guards against an urgent route whose calls are all late, since its objective is
+// shorter than its work, and that starves behind less urgent calls in time.
+func TestLateRankIsNotStarved(t *testing.T) {
+	call := func(name config.RouteName, rank uint32, perSecond float64, useful time.Duration) offeredRoute {
+		return offeredRoute{
+			name: name, workspace: "w", rank: rank, perSecond: perSecond,
+			duration: 200 * time.Millisecond, useful: useful, deadline: 3 * time.Second,
+		}
+	}
+	load := []offeredRoute{call("late", 0, 10, 100*time.Millisecond), call("in-time", 2, 40, 1500*time.Millisecond)}
+	shares := playLoad(New(byCost(6)), load)
+	average := 0.2*shares["late"].served + 0.8*shares["in-time"].served
+	assert.Assert(t, shares["late"].served > 0.5*average, "%.3f of the late calls were served, %.2f on average", shares["late"].served, average)
+	assert.Assert(t, shares["in-time"].inTime > shares["late"].served)
+}
+
 // Guards against an order by rank alone: a call that can't be in time waits for
 // one that can, whatever their ranks.
 func TestLateCallsWaitForThoseInTime(t *testing.T) {
