admission: Sum the shares of levels once

With many levels and a long queue, each arriving call summed the shares of all levels for each waiting call, under the gate's lock. The sums are kept and decayed with the shares now.

--- a/admission/cost.go
+++ b/admission/cost.go
@@ -125,6 +125,8 @@
 // levelShares tracks the share of each level's recent calls that got a slot.
 type levelShares struct {
 	byLevel map[int]*levelShare
+	// total is the sum of byLevel.
+	total levelShare
 	// updatedAt is when the counts were last decayed.
 	updatedAt time.Time
 }
@@ -132,6 +134,11 @@
 // levelShare counts calls, decayed by age.
 type levelShare struct{ asked, served float64 }
 
+func (s *levelShare) decay(factor float64) {
+	s.asked *= factor
+	s.served *= factor
+}
+
 func newLevelShares() levelShares {
 	return levelShares{byLevel: make(map[int]*levelShare)}
 }
@@ -139,12 +146,14 @@
 func (s *levelShares) recordAsked(now time.Time, level int) {
 	if share := s.level(now, level); share != nil {
 		share.asked++
+		s.total.asked++
 	}
 }
 
 func (s *levelShares) recordServed(now time.Time, level int) {
 	if share := s.level(now, level); share != nil {
 		share.served++
+		s.total.served++
 	}
 }
 
@@ -155,12 +164,7 @@
 	if share == nil || share.asked < _minAskedForShare {
 		return false
 	}
-	var asked, served float64
-	for _, other := range s.byLevel {
-		asked += other.asked
-		served += other.served
-	}
-	return share.served/share.asked < _minServedShare*served/asked
+	return share.served/share.asked < _minServedShare*s.total.served/s.total.asked
 }
 
 // level returns the counts of a level, nil if too many levels are tracked.
@@ -168,9 +172,9 @@
 	if elapsed := now.Sub(s.updatedAt); elapsed > 0 && !s.updatedAt.IsZero() {
 		factor := math.Exp(-float64(elapsed) / float64(_shareTimeConstant))
 		for _, share := range s.byLevel {
-			share.asked *= factor
-			share.served *= factor
+			share.decay(factor)
 		}
+		s.total.decay(factor)
 	}
 	s.updatedAt = now
 	share, ok := s.byLevel[level]
--- a/admission/cost_test.go
+++ b/admission/cost_test.go
@@ -170,3 +170,23 @@
 	g.Release(now.Add(100*time.Millisecond), running, Completed)
 	assert.Assert(t, admitted(inTime) && !decided(late))
 }
+
+// BenchmarkAcquireManyLevels measures a call that arrives at a queue whose calls
+// have as many levels as are tracked.
+func BenchmarkAcquireManyLevels(b *testing.B) {
+	limits := byCost(16)
+	limits.MaxQueue = 1 << 30
+	g := New(limits)
+	request := func(i int) Request {
+		return Request{
+			Class: config.ClassCommand, Rank: uint32(i % _maxLevels), Route: "x",
+			UsefulUntil: _start.Add(time.Minute), Deadline: _start.Add(time.Minute),
+		}
+	}
+	for i := range 256 + limits.Slots {
+		g.Acquire(_start, request(i))
+	}
+	for i := range b.N {
+		g.Abandon(g.Acquire(_start, request(i)))
+	}
+}
