routing, call: Weigh calls on public routes by their workspace

Owners take a workspace's part in the slots from its rate, and found it by the hash of the key. Calls on public routes carry none, so that each of them set the part to the mean of all workspaces, and the next call of another route set it back. Owners look it up by name now.

TestWorkspaceWeightOnPublicRoutes got 0 for a workspace with a rate of 20.

--- a/call/ingress_call_test.go
+++ b/call/ingress_call_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"lentilferry.example/lentilferry/config"
 	"lentilferry.example/lentilferry/routing"
 )
 
@@ -57,3 +58,24 @@
 		assert.Equal(t, parseReportedLoad(text, "r"), routing.ReportedLoad{}, text)
 	}
 }
+
+// Guards against a workspace whose calls on public routes, which carry no key to
+// the owner, weigh as the mean of all workspaces: the part of the workspace then
+// changed with each of its calls.
+func TestWorkspaceWeightOnPublicRoutes(t *testing.T) {
+	key := config.HashKey("k1")
+	table := routing.NewTable(config.Config{Workspaces: []config.Workspace{{Name: "acme", KeyHashes: []config.KeyHash{key}, Rate: 20, Burst: 1}}}, nil, nil)
+	owner := &Owner{deps: OwnerDependencies{Table: func() *routing.Table { return table }}}
+	for _, test := range []struct {
+		workspace workspaceRef
+		want      float64
+	}{
+		{workspaceRef{name: "acme", key: key}, 20},
+		{workspaceRef{name: "acme"}, 20},
+		{workspaceRef{name: "unknown"}, 0},
+		{workspaceRef{}, 0},
+	} {
+		c := &ownerCall{owner: owner, forwarded: forwardedCall{workspace: test.workspace}}
+		assert.Equal(t, c.workspaceWeight(), test.want, "%v", test.workspace)
+	}
+}
--- a/call/owner.go
+++ b/call/owner.go
@@ -249,7 +249,7 @@
 	if table == nil {
 		return 0
 	}
-	current, ok := table.WorkspaceOf(w.key)
+	current, ok := table.Workspace(w.name)
 	if !ok {
 		return 0
 	}
--- a/routing/table.go
+++ b/routing/table.go
@@ -48,9 +48,8 @@
 	// workspaces holds the workspace of each key. It points into the
 	// configuration, which is immutable.
 	workspaces map[config.KeyHash]*config.Workspace
-	// hasWorkspaces is set if the configuration has workspaces, also if these
-	// have no keys.
-	hasWorkspaces bool
+	// workspacesByName holds all workspaces, also those that have no keys.
+	workspacesByName map[config.WorkspaceName]*config.Workspace
 	// byHost holds the targets of each host, longest path prefix first. The
 	// empty host takes the calls that match no route of their own host.
 	byHost map[string][]*Target
@@ -60,7 +59,8 @@
 // table, if any, also has keep their positions in the split sequences and their
 // longest timeout.
 func NewTable(c config.Config, previous *Table, rnd *rand.Rand) *Table {
-	t := &Table{Limits: c.Limits, workspaces: newWorkspaces(c.Workspaces), hasWorkspaces: len(c.Workspaces) > 0, byHost: make(map[string][]*Target)}
+	t := &Table{Limits: c.Limits, byHost: make(map[string][]*Target)}
+	t.workspaces, t.workspacesByName = newWorkspaces(c.Workspaces)
 	services := make(map[config.ServiceName]*config.Service, len(c.Services))
 	for i := range c.Services {
 		services[c.Services[i].Name] = &c.Services[i]
@@ -84,21 +84,29 @@
 	return t
 }
 
-// newWorkspaces returns the workspace of each key.
-func newWorkspaces(workspaces []config.Workspace) map[config.KeyHash]*config.Workspace {
-	byKey := make(map[config.KeyHash]*config.Workspace)
+// newWorkspaces returns the workspaces by their keys and by their names.
+func newWorkspaces(workspaces []config.Workspace) (byKey map[config.KeyHash]*config.Workspace, byName map[config.WorkspaceName]*config.Workspace) {
+	byKey = make(map[config.KeyHash]*config.Workspace)
+	byName = make(map[config.WorkspaceName]*config.Workspace, len(workspaces))
 	for i := range workspaces {
+		byName[workspaces[i].Name] = &workspaces[i]
 		for _, key := range workspaces[i].KeyHashes {
 			byKey[key] = &workspaces[i]
 		}
 	}
-	return byKey
+	return byKey, byName
 }
 
 // HasWorkspaces reports whether calls need a workspace's key, except on public
 // routes.
 func (t *Table) HasWorkspaces() bool {
-	return t.hasWorkspaces
+	return len(t.workspacesByName) > 0
+}
+
+// Workspace returns the workspace of a name. It returns false if there is none.
+func (t *Table) Workspace(name config.WorkspaceName) (*config.Workspace, bool) {
+	w, ok := t.workspacesByName[name]
+	return w, ok
 }
 
 // WorkspaceOf returns the workspace of a key, in a time that doesn't depend on
