config: Quote no lines of documents that can't be parsed

A document whose list of workspaces was misspelt, as "workspace:", was refused with an error that showed the lines around it, and with them the keys in clear text: the lines were only left out where the document contained "workspaces". The error now gives the place and the message of the parser alone.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -93,6 +93,17 @@
 	assert.ErrorContains(t, err, "document: has 1048577 bytes")
 }
 
+// No error quotes a key where the name of the list that holds it is misspelt, so
+// that the document has no list of workspaces.
+func TestFaultsOfMisspeltListQuoteNoKey(t *testing.T) {
+	for _, name := range []string{"workspace:", "Workspaces:", "worksapces:", "tenants:", "  workspaces :", "\"work\\x73paces\":"} {
+		_, err := ParseYAML([]byte(strings.Replace(_validDocument, "workspaces:", name, 1)), Config{})
+		if err != nil {
+			assert.Check(t, !strings.Contains(err.Error(), "-key"), "%s: %s", name, err)
+		}
+	}
+}
+
 // No error quotes a key, wherever in the document the fault is.
 func TestFaultsQuoteNoKey(t *testing.T) {
 	for _, test := range []struct{ old, new string }{
--- a/config/config_yaml.go
+++ b/config/config_yaml.go
@@ -115,12 +115,13 @@
 	return c, nil
 }
 
-// describeSyntaxError returns why a document can't be parsed. The parser's own
-// text quotes the document, so that only the place is given where the document
-// has workspaces, whose keys the text could contain.
+// describeSyntaxError returns why a document can't be parsed, without the lines
+// around the fault: they could contain keys, also where the name of the list of
+// workspaces is misspelt. The parser's own message may quote a field or a value, so
+// that only the place is given where the document has workspaces.
 func describeSyntaxError(document []byte, err error) string {
 	if !bytes.Contains(document, []byte("workspaces")) {
-		return strings.TrimSpace(yaml.FormatError(err, false, true))
+		return strings.TrimSpace(yaml.FormatError(err, false, false))
 	}
 	var located yaml.Error
 	if !errors.As(err, &located) || located.GetToken() == nil || located.GetToken().Position == nil {
