routing: Bound what one caller's time says of others

Where slots are given by cost, a call counts as a further attempt if its caller waits for much less than the longest time that any caller of the route stated. One caller that stated two minutes therefore made all calls of the route count as late at that ingress, as long as its process ran. Times count up to the route's timeout now, which is the longest that callers wait.

TestImpatientCallersHaveNotWaited gets a route, whose timeout is read now; its figures are the same.

--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -330,9 +330,20 @@
 // Guards against first attempts of impatient callers that count as late, since
 // others stated a longer time.
 func TestImpatientCallersHaveNotWaited(t *testing.T) {
-	target := &Target{longestTimeout: new(atomic.Int64)}
+	target := &Target{Route: &config.Route{Timeout: config.MaxTimeout}, longestTimeout: new(atomic.Int64)}
 	assert.Equal(t, target.EstimateRetryElapsed(2500*time.Millisecond), time.Duration(0))
 	assert.Equal(t, target.EstimateRetryElapsed(2125*time.Millisecond), time.Duration(0))
 	assert.Equal(t, target.EstimateElapsed(2125*time.Millisecond), 375*time.Millisecond)
 	assert.Equal(t, target.EstimateRetryElapsed(1500*time.Millisecond), 500*time.Millisecond)
 }
+
+// Guards against one caller that states two minutes, after which the calls of all others
+// counted as further attempts, and so as late, for as long as the process ran.
+func TestImpatienceOfOthersIsNotMeasuredByOneCaller(t *testing.T) {
+	c := config.Config{Routes: []config.Route{{Name: "r", PathPrefix: "/", Timeout: 3 * time.Second}}}
+	target, ok := NewTable(c, nil, rand.New(rand.NewPCG(1, 1))).Match("", "/")
+	assert.Assert(t, ok)
+	assert.Equal(t, target.EstimateRetryElapsed(config.MaxTimeout), time.Duration(0))
+	assert.Equal(t, target.EstimateRetryElapsed(2500*time.Millisecond), time.Duration(0))
+	assert.Equal(t, target.EstimateRetryElapsed(1500*time.Millisecond), 900*time.Millisecond)
+}
--- a/routing/table.go
+++ b/routing/table.go
@@ -201,10 +201,12 @@
 
 // EstimateRetryElapsed is like EstimateElapsed, and allows for callers that are
 // less patient than others: it returns 0 unless the remaining time is so short
-// that the caller must have waited already.
+// that the caller must have waited already. Times beyond the route's timeout count
+// as the timeout, since a single caller may state any time.
 func (t *Target) EstimateRetryElapsed(remaining time.Duration) time.Duration {
 	t.EstimateElapsed(remaining)
-	least := time.Duration((1 - _statedSpread) * float64(t.longestTimeout.Load()))
+	longest := min(t.longestTimeout.Load(), int64(t.Route.Timeout))
+	least := time.Duration((1 - _statedSpread) * float64(longest))
 	return max(0, least-remaining)
 }
 
