--- a/commands/explain.go
+++ b/commands/explain.go
@@ -167,6 +167,8 @@
 var _reasonTexts = map[string]string{
 	"too-late":         "no upstream could have run it before its deadline: all slots were taken by calls that are served first",
 	"queue-full":       "the queue was full at each upstream that was tried",
+	"displaced":        "the queue was full at each upstream that was tried, and calls that cost callers more to refuse took its place",
+	"elsewhere":        "it would have taken much longer at the upstream than assumed, and no other could be tried",
 	"draining":         "the upstreams that were tried take no new calls: they are leaving, or their version has no share",
 	"no-upstream":      "no upstream of the allowed versions takes calls",
 	"no-route":         "the configuration in force on the node has no route for it",
