--- a/config/config_yaml.go
+++ b/config/config_yaml.go
@@ -140,15 +140,16 @@
 	return c, append(p.found, Check(c)...)
 }
 
-// newSyntaxError returns why a document can't be parsed. The parser's own text
-// quotes the document, so that only the place is given where the document has
-// workspaces, whose keys the text could contain.
+// newSyntaxError returns why a document can't be parsed, without the lines around
+// the fault: they could contain keys, also where the name of the list of
+// workspaces is misspelt. The parser's own message may quote a field or a value, so
+// that only the place is given where the document has workspaces.
 func newSyntaxError(document []byte, err error) *syntaxError {
 	const prefix = "document is not a valid configuration: "
 	line, column := locateError(err)
 	switch {
 	case !bytes.Contains(document, []byte("workspaces")):
-		return &syntaxError{text: prefix + strings.TrimSpace(yaml.FormatError(err, false, true)), line: line}
+		return &syntaxError{text: prefix + strings.TrimSpace(yaml.FormatError(err, false, false)), line: line}
 	case line == 0:
 		return &syntaxError{text: prefix + "not shown, as the document may contain keys"}
 	default:
