soak: Check keys, allotments and pipelined calls under faults

The soak knew no workspaces, no pipelining and no reported load, so that a fault in them could show only in tests without overlapping faults.

Change: each configuration has three workspaces, one with a low rate and one whose key the next configuration withdraws. Callers send valid, unknown, missing and withdrawn keys and forge the workspace's header; a second caller of each node pipelines lookups. The checker finds calls that run or are answered in spite of their key, valid keys that are refused, a key in a header or a log, a wrong workspace, 429 without a limit, an exceeded allotment, responses out of order, and runs behind a response that closed the connection. Every other upstream reports its load.

The checker's tests send a valid key now, as a call without one counts as unauthorized. No check is dropped.

--- a/internal/fakes/fakehost/upstream.go
+++ b/internal/fakes/fakehost/upstream.go
@@ -25,10 +25,15 @@
 	_headerAttempt  = "X-Attempt-Id"
 	_headerDeadline = "X-Deadline-Ms"
 	_headerExpect   = "X-Expect-Instance"
+	_headerLoad     = "X-Server-Load"
 	_headerNotRun   = "X-Not-Run"
 	_headerSeal     = "X-Server-Seal"
+	_headerTenant   = "X-Tenant"
 )
 
+// HealthPath is the path of an upstream's health check.
+const HealthPath = "/healthz"
+
 // Faults holds the faults of an upstream. The zero value has none.
 type Faults struct {
 	// FailRatio is the share of calls that fail, and LostResponseRatio the share
@@ -44,13 +49,17 @@
 	ID string
 	// RequestHash is the HashRequest of the request that arrived.
 	RequestHash string
-	StartedAt   time.Time
+	// Tenant is the name of the workspace that the request states.
+	Tenant    string
+	StartedAt time.Time
 	// Instance is the ID of the upstream instance that ran the call.
 	Instance string
 	// ResponseLost is set if the upstream drops the response.
 	ResponseLost bool
 	// Crashed is set if the call crashes the instance.
 	Crashed bool
+	// Headers are the headers of the request that arrived.
+	Headers http.Header
 }
 
 // UpstreamDependencies holds the settings of an Upstream.
@@ -59,6 +68,8 @@
 	// Slots is the number of calls that can run at once.
 	Slots          int
 	ProcessingTime time.Duration
+	// ReportsLoad is set if the upstream adds its load to responses.
+	ReportsLoad bool
 	// Address is the upstream's address, and AnnounceAddress the node's address
 	// for announcements.
 	Address, AnnounceAddress netip.AddrPort
@@ -230,9 +241,15 @@
 	u.mu.Unlock()
 	callID := r.Header.Get(_headerAttempt)
 	w.Header().Set(_headerAttempt, callID)
+	if u.deps.ReportsLoad {
+		slowness := 100 * (u.deps.ProcessingTime + faults.Delay) / u.deps.ProcessingTime
+		w.Header().Set(_headerLoad, fmt.Sprintf("%d,0,%d,%d", len(u.slots), cap(u.slots), slowness))
+	}
 	switch {
 	case down:
 		panic(http.ErrAbortHandler)
+	case r.URL.Path == HealthPath:
+		return
 	case r.Header.Get(_headerExpect) != "" && r.Header.Get(_headerExpect) != id:
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -246,15 +263,19 @@
 		return
 	}
 	loseResponse := rand.Float64() < faults.LostResponseRatio
-	hash := HashRequest(r.Method, r.URL.Path, body)
+	run := Run{
+		ID: callID, RequestHash: HashRequest(r.Method, r.URL.Path, body), Tenant: r.Header.Get(_headerTenant),
+		StartedAt: time.Now(), Instance: id, ResponseLost: loseResponse, Headers: r.Header,
+	}
 	if u.deps.IsCrashing(r.URL.Path) {
 		if u.crashInstance(id) {
-			u.deps.OnRun(Run{ID: callID, RequestHash: hash, StartedAt: time.Now(), Instance: id, Crashed: true})
+			run.ResponseLost, run.Crashed = false, true
+			u.deps.OnRun(run)
 			u.deps.OnCrash(id)
 		}
 		panic(http.ErrAbortHandler)
 	}
-	u.deps.OnRun(Run{ID: callID, RequestHash: hash, StartedAt: time.Now(), Instance: id, ResponseLost: loseResponse})
+	u.deps.OnRun(run)
 	select {
 	case <-time.After(u.deps.ProcessingTime + faults.Delay):
 	case <-r.Context().Done():
@@ -269,5 +290,5 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
-	_, _ = io.WriteString(w, hash+" by "+id) //nolint:gosec // No browser reads it.
+	_, _ = io.WriteString(w, run.RequestHash+" by "+id)
 }
--- a/lentilferryd/abusive_clients_integration_test.go
+++ b/lentilferryd/abusive_clients_integration_test.go
@@ -63,7 +63,7 @@
 	store := fakestore.New()
 	storeServer := httptest.NewServer(store)
 	t.Cleanup(func() { storeServer.CloseClientConnections(); storeServer.Close() })
-	document, err := fakehost.EncodeConfig(1, "desk", []fakehost.Route{{Name: "lookups", PathPrefix: "/lookup/", Idempotent: true}})
+	document, err := fakehost.EncodeConfig(1, "desk", []fakehost.Route{{Name: "lookups", PathPrefix: "/lookup/", Idempotent: true}}, nil)
 	assert.NilError(t, err)
 	store.Put("config", "main", document)
 
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -28,12 +29,18 @@
 	// One in _callsPerEarlyCancel calls gets such a short timeout that its caller
 	// may give up before the call ends.
 	_callsPerEarlyCancel = 40
+	// _maxPipelined is the upper bound of the calls that are pipelined at once, and
+	// _meanPipeliningInterval the mean time between two such groups of a caller.
+	_maxPipelined           = 6
+	_meanPipeliningInterval = 100 * time.Millisecond
 )
 
-// Path prefixes of the routes that all configurations have.
+// Path prefixes of the routes that all configurations have, and of those that
+// only one has.
 const (
 	_pathLookup  = "/lookups/"
 	_pathCommand = "/commands/"
+	_pathVersion = "/version-"
 )
 
 // _crashingName is in the paths of the calls that crash upstreams.
@@ -44,8 +51,8 @@
 	return strings.Contains(path, _crashingName)
 }
 
-// callers sends calls to all nodes, with one caller for each node. A caller
-// keeps its connection open as long as the node does.
+// callers sends calls to all nodes, with two callers for each node, of which one
+// pipelines. A caller keeps its connection open as long as the node does.
 type callers struct {
 	fleet     *fleet
 	checker   *checker
@@ -53,10 +60,10 @@
 	running   sync.WaitGroup
 }
 
-// run starts one caller for each node, which sends calls until the context
-// ends. It returns at once; c.running waits for the callers.
+// run starts the callers, which send calls until the context ends. It returns at once; c.running waits for the callers.
 func (c *callers) run(ctx context.Context, seed uint64) {
 	for i, v := range c.fleet.vms {
+		c.running.Go(func() { c.pipeline(ctx, v, rand.New(rand.NewPCG(seed, uint64(len(c.fleet.vms)+i)))) })
 		c.running.Go(func() {
 			rnd := rand.New(rand.NewPCG(seed, uint64(i)))
 			transport := &http.Transport{
@@ -72,11 +79,50 @@
 	}
 }
 
+// pipeline sends groups of pipelined lookups to a node until the context ends.
+func (c *callers) pipeline(ctx context.Context, v *vm, rnd *rand.Rand) {
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(rnd.ExpFloat64() * float64(_meanPipeliningInterval)))
+		conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", v.callAddress.String())
+		if err != nil {
+			continue
+		}
+		reader := bufio.NewReader(conn)
+		for ctx.Err() == nil && c.sendPipelined(conn, reader, v, rnd) {
+			time.Sleep(time.Duration(rnd.ExpFloat64() * float64(_meanPipeliningInterval)))
+		}
+		_ = conn.Close()
+	}
+}
+
+// sendPipelined sends one group of lookups and records the responses. It reports
+// whether the connection can be used again.
+func (c *callers) sendPipelined(conn net.Conn, reader *bufio.Reader, v *vm, rnd *rand.Rand) bool {
+	calls := make([]fakehost.Call, 1+rnd.IntN(_maxPipelined))
+	for i := range calls {
+		calls[i] = c.newLookup(rnd)
+		c.checker.recordSend(calls[i], true, v.id)
+	}
+	responses, reusable := fakehost.SendPipelined(context.Background(), conn, reader, calls)
+	for i, response := range responses {
+		c.checker.recordResponse(calls[i].ID, response)
+	}
+	return reusable
+}
+
+// newLookup returns a lookup with a random key.
+func (c *callers) newLookup(rnd *rand.Rand) fakehost.Call {
+	return fakehost.Call{
+		ID: fmt.Sprintf("c%08d", c.callCount.Add(1)), Method: http.MethodGet, Path: _pathLookup + "7", Timeout: _callTimeout,
+		Key: randomKey(rnd, int(c.fleet.configVersion.Load())),
+	}
+}
+
 // sendCrashing sends calls that crash upstreams to random nodes until the context
 // ends. They differ only in their IDs.
 func (c *callers) sendCrashing(ctx context.Context, rnd *rand.Rand) {
 	name := fmt.Sprint(_crashingName, c.callCount.Add(1))
-	call := fakehost.Call{Method: http.MethodGet, Path: _pathLookup + name, Timeout: _callTimeout}
+	call := fakehost.Call{Method: http.MethodGet, Path: _pathLookup + name, Timeout: _callTimeout, Key: _keyPrefix + _steady}
 	idempotent := rnd.IntN(2) == 0
 	if !idempotent {
 		call.Method, call.Path, call.Body = http.MethodPost, _pathCommand+name, make([]byte, rnd.IntN(_maxBodyBytes))
@@ -100,13 +146,10 @@
 
 // send sends a command or a lookup to a node and records its response.
 func (c *callers) send(client *http.Client, v *vm, rnd *rand.Rand) fakehost.Response {
-	call := fakehost.Call{
-		ID: fmt.Sprintf("c%08d", c.callCount.Add(1)), Method: http.MethodPost, Path: _pathCommand + "7", Timeout: _callTimeout,
-		Body: make([]byte, rnd.IntN(_maxBodyBytes)),
-	}
+	call := c.newLookup(rnd)
 	idempotent := rnd.IntN(2) == 0
-	if idempotent {
-		call.Method, call.Path, call.Body = http.MethodGet, _pathLookup+"7", nil
+	if !idempotent {
+		call.Method, call.Path, call.Body = http.MethodPost, _pathCommand+"7", make([]byte, rnd.IntN(_maxBodyBytes))
 	}
 	if rnd.IntN(_callsPerEarlyCancel) == 0 {
 		call.Timeout = time.Duration(rnd.Int64N(int64(3 * _processingTime)))
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -39,10 +39,9 @@
 	fleet   *fleet
 	callers *callers
 	rnd     *rand.Rand
-	// rndMu guards rnd, which overlapping faults share, and configVersion.
+	// rndMu guards rnd, which overlapping faults share, and orders the
+	// configurations.
 	rndMu sync.Mutex
-	// configVersion is the version of the newest configuration.
-	configVersion int
 	// vmMu holds a mutex for each VM's process and upstream, so that two faults
 	// never start the same one twice.
 	vmMu map[*vm]*sync.Mutex
@@ -226,21 +225,22 @@
 func (inj *faultInjector) writeNextConfig() {
 	inj.rndMu.Lock()
 	defer inj.rndMu.Unlock()
-	inj.configVersion++
-	document, err := fakehost.EncodeConfig(inj.configVersion, _service, []fakehost.Route{
+	version := int(inj.fleet.configVersion.Load()) + 1
+	document, err := fakehost.EncodeConfig(version, _service, []fakehost.Route{
 		{Name: "lookups", PathPrefix: _pathLookup, Idempotent: true},
 		{Name: "commands", PathPrefix: _pathCommand},
-		{Name: "newest", PathPrefix: versionPath(inj.configVersion), Idempotent: true},
-	})
+		{Name: "newest", PathPrefix: versionPath(version), Idempotent: true, Public: true},
+	}, tenants(version))
 	if err != nil {
 		inj.logf("%+v", err)
 		return
 	}
 	inj.fleet.store.Put("config", "main", document)
+	inj.fleet.configVersion.Store(int64(version))
 }
 
 // versionPath returns the path prefix of the route that only the given version
 // of the configuration has.
 func versionPath(version int) string {
-	return "/version-" + strconv.Itoa(version) + "/"
+	return _pathVersion + strconv.Itoa(version) + "/"
 }
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -71,6 +72,8 @@
 	checker     *checker
 	client      *http.Client
 	ports       portAllocator
+	// configVersion is the version of the newest configuration.
+	configVersion atomic.Int64
 }
 
 const (
@@ -147,7 +150,7 @@
 	}
 	v.upstreamServer = server
 	v.upstream = fakehost.NewUpstream(fakehost.UpstreamDependencies{
-		Service: _service, Slots: _slots, ProcessingTime: _processingTime, Address: v.toUpstream.address, AnnounceAddress: announceAddress,
+		Service: _service, Slots: _slots, ProcessingTime: _processingTime, ReportsLoad: index%2 == 0, Address: v.toUpstream.address, AnnounceAddress: announceAddress,
 		OnRun: f.checker.recordRun, IsCrashing: isCrashing, OnCrash: v.restartUpstreamLater,
 	})
 	server.Start()
@@ -163,6 +166,7 @@
 		"--admin-address", adminAddress.String(), "--announce-address", announceAddress.String(),
 		"--platform-protocol", "hosted", "--platform-url", "http://" + v.toStore.address.String(),
 		"--service", _service, "--upstream-address", v.toUpstream.address.String(),
+		"--upstream-health-path", fakehost.HealthPath, "--pipeline-depth", "16",
 		"--leave-notice", "2900ms", "--drain-timeout", "5100ms", "--gc-percent", "50", "--verbosity", "1",
 	}
 	return v, v.start()
--- a/soak/main.go
+++ b/soak/main.go
@@ -145,7 +145,7 @@
 	c := &callers{fleet: f, checker: check}
 	injector := newFaultInjector(f, c, seed, logf)
 	injector.writeNextConfig()
-	w := &recoveryWatcher{fleet: f, injector: injector, checker: check}
+	w := &recoveryWatcher{fleet: f, checker: check}
 	w.awaitRecovery("start", _startTimeout)
 	callCtx, stopCalls := context.WithCancel(ctx)
 	c.run(callCtx, seed)
@@ -163,19 +163,23 @@
 	}
 	cancel()
 	f.close()
+	for _, v := range f.vms {
+		check.checkLog(v.logFile.Name())
+	}
 	return o.printResult(seed, logDir, check), nil
 }
 
 // printResult prints the result of a seed, removes the logs if it passed, and
 // returns the violations.
 func (o *options) printResult(seed uint64, logDir string, check *checker) []string {
+	limitedRuns := check.checkAllotment()
 	counts, violations := check.report()
 	responses := make([]string, 0, len(counts))
 	for _, status := range slices.Sorted(maps.Keys(counts)) {
 		responses = append(responses, fmt.Sprintf("%d: %d", status, counts[status]))
 	}
-	fmt.Printf("seed %d: %d violations; responses by status: %s; crashes by each crashing call: %v\n",
-		seed, len(violations), strings.Join(responses, ", "), check.crashCounts())
+	fmt.Printf("seed %d: %d violations; responses by status: %s; crashes by each crashing call: %v; most runs of %s in %s: %d of %d\n",
+		seed, len(violations), strings.Join(responses, ", "), check.crashCounts(), _limited, _allotmentWindow, limitedRuns, _maxLimitedRuns)
 	for _, v := range violations {
 		fmt.Println("  " + v)
 	}
@@ -190,7 +194,6 @@
 // recoveryWatcher checks whether all nodes serve with the newest configuration.
 type recoveryWatcher struct {
 	fleet     *fleet
-	injector  *faultInjector
 	checker   *checker
 	callCount int
 }
@@ -217,22 +220,28 @@
 // firstProblem describes the first node that does not serve. It returns an
 // empty string when all nodes serve.
 func (w *recoveryWatcher) firstProblem() string {
-	w.injector.rndMu.Lock()
-	version := w.injector.configVersion
-	w.injector.rndMu.Unlock()
+	version := int(w.fleet.configVersion.Load())
 	for _, v := range w.fleet.vms {
 		if !w.fleet.isReady(v) {
 			return v.id + " is not ready"
 		}
 		// The lookup is the same call as the callers', which must not be refused
 		// because it was running when upstreams crashed.
-		for _, path := range []string{_pathLookup, versionPath(version)} {
+		for _, check := range []struct {
+			path, key string
+			want      int
+		}{
+			{_pathLookup, _keyPrefix + _steady, http.StatusOK},
+			{versionPath(version), "", http.StatusOK},
+			{_pathLookup, rotatingKey(version), http.StatusOK},
+			{_pathLookup, rotatingKey(version - 1), http.StatusUnauthorized},
+		} {
 			w.callCount++
-			call := fakehost.Call{ID: fmt.Sprintf("w%08d", w.callCount), Method: http.MethodGet, Path: path + "7", Timeout: _callTimeout}
+			call := fakehost.Call{ID: fmt.Sprintf("w%08d", w.callCount), Method: http.MethodGet, Path: check.path + "7", Timeout: _callTimeout, Key: check.key}
 			w.checker.recordSend(call, true, v.id)
 			response := fakehost.Send(context.Background(), w.fleet.client, v.callAddress, call)
-			if response.Status != http.StatusOK || response.Mismatch != "" {
-				return fmt.Sprintf("%s returned status %d for %s: %s %v", v.id, response.Status, path, response.Mismatch, response.Err)
+			if response.Status != check.want || response.Mismatch != "" {
+				return fmt.Sprintf("%s returned status %d instead of %d for %s: %s %v", v.id, response.Status, check.want, check.path, response.Mismatch, response.Err)
 			}
 		}
 	}
--- a/soak/promises.go
+++ b/soak/promises.go
@@ -33,10 +33,13 @@
 	call       fakehost.Call
 	idempotent bool
 	// node is the ID of the node that the call was sent to.
-	node      string
-	response  fakehost.Response
-	completed bool
-	runs      []fakehost.Run
+	node   string
+	sentAt time.Time
+	// unauthorized is set if the call must be refused for its key.
+	unauthorized bool
+	response     fakehost.Response
+	completed    bool
+	runs         []fakehost.Run
 }
 
 // crashingCall counts the crashes by calls that differ only in their IDs.
@@ -63,6 +66,8 @@
 	// and isolations the isolations by the ID of the node.
 	crashing   map[string]*crashingCall
 	isolations map[string]*isolation
+	// accepted holds the newest version that each node accepted a key of.
+	accepted map[string]acceptedVersion
 	// responsesByStatus counts responses by HTTP status, and under 0 the calls
 	// that got none.
 	responsesByStatus map[int]int
@@ -72,7 +77,7 @@
 func newChecker() *checker {
 	return &checker{
 		calls: make(map[string]*sentCall), crashing: make(map[string]*crashingCall), isolations: make(map[string]*isolation),
-		responsesByStatus: make(map[int]int),
+		responsesByStatus: make(map[int]int), accepted: make(map[string]acceptedVersion),
 	}
 }
 
@@ -88,7 +93,10 @@
 func (c *checker) recordSend(call fakehost.Call, idempotent bool, node string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.calls[call.ID] = &sentCall{call: call, idempotent: idempotent, node: node}
+	now := time.Now()
+	c.calls[call.ID] = &sentCall{
+		call: call, idempotent: idempotent, node: node, sentAt: now, unauthorized: c.isUnauthorizedLocked(call, node, now),
+	}
 }
 
 // recordResponse records the response that a caller received.
@@ -99,11 +107,12 @@
 	sent.response, sent.completed = response, true
 	c.responsesByStatus[response.Status]++
 	if response.Mismatch != "" {
-		c.addViolationLockedf("call %s: success response does not match the request: %s", id, response.Mismatch)
+		c.addViolationLockedf("call %s: response does not match the request: %s", id, response.Mismatch)
 	}
 	if response.Status == http.StatusNotFound {
 		c.addViolationLockedf("call %s: %s returned 404 although every configuration has the route", id, sent.call.Path)
 	}
+	c.checkKeyLocked(id, sent, time.Now())
 	c.checkRefusalLocked(id, sent)
 }
 
@@ -119,6 +128,8 @@
 	if want := fakehost.HashRequest(sent.call.Method, sent.call.Path, sent.call.Body); r.RequestHash != want {
 		c.addViolationLockedf("call %s: run by %s with a request that differs from the one sent", r.ID, r.Instance)
 	}
+	c.checkRunKeyLocked(r, sent)
+	r.Headers = nil
 	sent.runs = append(sent.runs, r)
 	if !sent.idempotent && len(sent.runs) > 1 {
 		c.addViolationLockedf("call %s: run %d times, by %s and %s", r.ID, len(sent.runs), sent.runs[0].Instance, r.Instance)
@@ -179,11 +190,15 @@
 }
 
 // checkRefusalLocked records a violation if a non-idempotent call ran although
-// its response says that it did not. The caller must hold c.mu.
+// its response says that it did not, or if any call ran that was pipelined behind
+// a response that closed the connection. The caller must hold c.mu.
 func (c *checker) checkRefusalLocked(id string, sent *sentCall) {
 	if sent.completed && sent.response.NotRun && !sent.idempotent && len(sent.runs) > 0 {
 		c.addViolationLockedf("call %s: answered %d (not run) but run by %s", id, sent.response.Status, sent.runs[0].Instance)
 	}
+	if sent.response.Unread && len(sent.runs) > 0 {
+		c.addViolationLockedf("call %s: run by %s although %s closed the connection before it", id, sent.runs[0].Instance, sent.node)
+	}
 }
 
 // checkRunsAfterLeave records a violation for each call that the instance
--- a/soak/promises_test.go
+++ b/soak/promises_test.go
@@ -22,10 +22,10 @@
 // The checker detects each kind of violation, whether the run or the response
 // is recorded first.
 func TestCheckerDetectsViolations(t *testing.T) {
-	call := fakehost.Call{ID: "c1", Method: http.MethodPost, Path: "/commands/7", Body: []byte("b")}
+	call := fakehost.Call{ID: "c1", Method: http.MethodPost, Path: "/commands/7", Body: []byte("b"), Key: _keyPrefix + _steady}
 	hash := fakehost.HashRequest(call.Method, call.Path, call.Body)
 	now := time.Now()
-	run := fakehost.Run{ID: "c1", RequestHash: hash, StartedAt: now, Instance: "i-1"}
+	run := fakehost.Run{ID: "c1", RequestHash: hash, StartedAt: now, Instance: "i-1", Tenant: _steady}
 	refused := fakehost.Response{Status: http.StatusServiceUnavailable, NotRun: true}
 	for name, test := range map[string]struct {
 		idempotent bool
@@ -42,6 +42,18 @@
 		"request changed":          {act: func(c *checker) { c.recordRun(fakehost.Run{ID: "c1", RequestHash: "x"}) }, want: "differs from the one sent"},
 		"response of another call": {act: func(c *checker) { c.recordResponse("c1", fakehost.Response{Status: http.StatusOK, Mismatch: "seal"}) }, want: "does not match the request"},
 		"not found":                {act: func(c *checker) { c.recordResponse("c1", fakehost.Response{Status: http.StatusNotFound}) }, want: "404"},
+		"run for another workspace": {act: func(c *checker) {
+			c.recordRun(fakehost.Run{ID: "c1", RequestHash: hash, Tenant: "forged"})
+		}, want: `workspace "forged" instead of "steady"`},
+		"key passed on": {act: func(c *checker) {
+			c.recordRun(fakehost.Run{ID: "c1", RequestHash: hash, Tenant: _steady, Headers: http.Header{"X": {call.Key}}})
+		}, want: "got the key in header X"},
+		"valid key refused": {act: func(c *checker) { c.recordResponse("c1", fakehost.Response{Status: http.StatusUnauthorized}) }, want: "answered 401"},
+		"no limit":          {act: func(c *checker) { c.recordResponse("c1", fakehost.Response{Status: http.StatusTooManyRequests}) }, want: "answered 429"},
+		"run behind a closing response": {idempotent: true, act: func(c *checker) {
+			c.recordRun(run)
+			c.recordResponse("c1", fakehost.Response{Unread: true})
+		}, want: "closed the connection before it"},
 		"after leave": {act: func(c *checker) {
 			c.recordRun(run)
 			c.checkRunsAfterLeave("i-1", now.Add(-_leaveGracePeriod-time.Millisecond))
@@ -91,13 +103,13 @@
 				c.endIsolation("n1", start.Add(*test.isolated))
 			}
 			for i, after := range test.runs {
-				call := fakehost.Call{ID: fmt.Sprint("c", i), Method: http.MethodGet, Path: "/crashing-1"}
+				call := fakehost.Call{ID: fmt.Sprint("c", i), Method: http.MethodGet, Path: "/crashing-1", Key: _keyPrefix + _steady}
 				if len(test.paths) > 0 {
 					call.Path = test.paths[i%len(test.paths)]
 				}
 				c.recordSend(call, true, "n1")
 				c.recordRun(fakehost.Run{
-					ID: call.ID, RequestHash: fakehost.HashRequest(call.Method, call.Path, nil), StartedAt: start.Add(after), Instance: fmt.Sprint("i-", i), Crashed: true,
+					ID: call.ID, RequestHash: fakehost.HashRequest(call.Method, call.Path, nil), StartedAt: start.Add(after), Instance: fmt.Sprint("i-", i), Tenant: _steady, Crashed: true,
 				})
 			}
 			_, violations := c.report()
