pipeline: End connections without a reset behind broken responses

A broken response closed the connection at once. If bytes of the caller were unread, the kernel reset it, which can destroy whole responses before the broken one that are still under way; one after the other, the caller would have had them long before.

The sending side now ends behind the last response, nothing more is written, and the connection closes as behind a closing response: after up to 0.5 s in which the rest is read. TestBrokenResponseDoesNotResetConnection failed before with "connection reset by peer".

--- a/pipeline/pipe.go
+++ b/pipeline/pipe.go
@@ -69,8 +69,9 @@
 	// isLast is set when no further request may be begun, since a response closes
 	// the connection.
 	isLast bool
-	// isBroken is set when no response can be sent anymore.
-	isBroken bool
+	// isBroken is set when no response can be sent anymore. isCutOff is set when none
+	// is sent anymore, since one is broken.
+	isBroken, isCutOff bool
 	// isReading is set while the connection is read, and wantsPlace while a
 	// request waits for room in the queue.
 	isReading, wantsPlace bool
@@ -286,11 +287,39 @@
 	_, _ = p.hijacked.ReadByte()
 }
 
+// cutOff ends the sending side behind the responses that were sent, and has the
+// connection closed once the handlers have returned. The caller is the one whose
+// turn it is.
+func (p *pipe) cutOff() {
+	p.out.Reset(endedWriter{})
+	p.mu.Lock()
+	p.isLast, p.isCutOff = true, true
+	p.mu.Unlock()
+	if p.conn.CloseWrite() != nil {
+		p.fail()
+	}
+}
+
+// endedWriter is what a pipe writes to after cutOff.
+type endedWriter struct{}
+
+func (endedWriter) Write([]byte) (int, error) { return 0, errBroken }
+
+// failWrite ends the connection after a write has failed.
+func (p *pipe) failWrite() {
+	p.mu.Lock()
+	isCutOff := p.isCutOff
+	p.mu.Unlock()
+	if !isCutOff {
+		p.fail()
+	}
+}
+
 // advance passes the turn on after the first response was written.
 func (p *pipe) advance() {
 	for {
 		if !p.isSecondFinished() && p.out.Flush() != nil {
-			p.fail()
+			p.failWrite()
 		}
 		next := p.removeFirst()
 		if next == nil || !next.begin() {
--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -365,6 +365,25 @@
 	}
 }
 
+// Guards against a reset that destroys the responses before a broken one while they
+// are under way: the connection of which not all was read ends in order.
+func TestBrokenResponseDoesNotResetConnection(t *testing.T) {
+	for _, broken := range []string{"/2/abort", "/2/short"} {
+		t.Run(broken, func(t *testing.T) {
+			g := newGates()
+			s := newTestServer(t, _testDepth, g.ServeHTTP)
+			c := s.dial(t)
+			c.send(get("/1", broken, "/3") + "GET /4 HTTP/1.1\r\nHost: h\r\nA: " + strings.Repeat("a", 64<<10))
+			g.awaitBegan(t, 3)
+			g.open(broken, "/1")
+			c.expect("/1")
+			_, err := io.Copy(io.Discard, c.reader)
+			assert.NilError(t, err)
+			await(t, func() bool { return g.canceled.Load() == 1 })
+		})
+	}
+}
+
 // The first response may break, too, while others wait behind it.
 func TestBrokenFirstResponse(t *testing.T) {
 	g := newGates()
--- a/pipeline/response.go
+++ b/pipeline/response.go
@@ -242,7 +242,7 @@
 		r.writeHead(p, false)
 	}
 	if r.writeBody(p) != nil {
-		r.pipe.fail()
+		r.pipe.failWrite()
 		return 0, errBroken
 	}
 	return len(p), nil
@@ -392,7 +392,7 @@
 		r.writeHead(nil, false)
 	}
 	if r.pipe.out.Flush() != nil {
-		r.pipe.fail()
+		r.pipe.failWrite()
 		return errBroken
 	}
 	return nil
@@ -484,13 +484,16 @@
 	}
 }
 
-// end writes the rest of the response, or closes the connection if the rest will
-// never come. The caller holds r.mu, and it is the turn of the response.
+// end writes the rest of the response, or ends the connection behind what was
+// written if the rest will never come. The caller holds r.mu, and it is the turn of the response.
 func (r *response) end() {
 	if r.isBroken {
 		r.releaseHeld()
-		_ = r.pipe.out.Flush()
-		r.pipe.fail()
+		if r.pipe.out.Flush() != nil {
+			r.pipe.failWrite()
+		} else {
+			r.pipe.cutOff()
+		}
 		return
 	}
 	if !r.hasHead {
