call: Answer stalled uploads when the owner's deadline passes first

Seen: TestStalledUploadIsAnsweredAtDeadline fails with a body of 90,000 bytes at another node: answered after 1.50 s with a deadline of 0.5 s. Callers of such a call waited a second past their deadline.

Cause: the owner is told the remaining time in whole milliseconds, so its deadline passes up to 1 ms before that of the ingress. When its answer arrives within that time, the handler of the ingress returns without ending the pending read of the body. The server then waits, before it sends the response, for the body or the read deadline, which is 1 s after the call's. A goroutine dump at 0.9 s shows the server at the lock of the body, and the transport in a read under it. Bodies above 256 KB are answered in full duplex and don't wait.

Change: a call whose result is that its deadline has passed ends its context, and with it the reads of its body.

--- a/call/ingress.go
+++ b/call/ingress.go
@@ -186,7 +186,11 @@
 		defer drainRequest(w, r)
 	}
 	i.deps.Budgets.For(c.service.Name).RecordCall(now)
-	c.serve(ctx)
+	if result := c.serve(ctx); result.Reason == ReasonDeadline {
+		// The owner is told whole milliseconds, so its deadline passes up to 1 ms
+		// earlier. Ends the reads of the body, for whose end the server would wait.
+		cancel()
+	}
 }
 
 // newCall returns the state of an accepted call, without its body. A call without a usable ID
--- a/call/ingress_call.go
+++ b/call/ingress_call.go
@@ -54,8 +54,8 @@
 }
 
 // serve tries upstreams until the outcome is Answered, the call may not be
-// retried, or no upstream is left to try.
-func (c *ingressCall) serve(ctx context.Context) {
+// retried, or no upstream is left to try. It returns the call's result.
+func (c *ingressCall) serve(ctx context.Context) Result {
 	lastResult := Result{Outcome: NotRun, Reason: ReasonNoUpstream}
 	for attempt := 1; attempt <= c.maxAttempts(); attempt++ {
 		endpoint, ok := c.chooseEndpoint()
@@ -72,7 +72,7 @@
 		c.logAttempt(endpoint, attempt, result, c.ingress.deps.Now().Sub(began))
 		if result.Outcome == Answered {
 			c.recordResult(result)
-			return
+			return result
 		}
 		c.recordAttempt(result)
 		lastResult = combineResults(lastResult, result)
@@ -88,6 +88,7 @@
 		"tried", len(c.tried), "sent", c.sentCount, "outcome", lastResult.Outcome.String(), "reason", lastResult.Reason, "retryAfter", lastResult.RetryAfter)
 	c.recordResult(lastResult)
 	lastResult.write(c.writer, c.ingress.deps.Dialect)
+	return lastResult
 }
 
 // recordResult counts the call's final result and latency.
--- a/call/stalled_upload_test.go
+++ b/call/stalled_upload_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"lentilferry.example/lentilferry/membership"
 )
 
 // A call whose body stalls is answered at its deadline.
@@ -37,3 +39,29 @@
 		}
 	}
 }
+
+// Guards against calls with stalled bodies that are answered only a second after
+// their deadline, because that passed earlier at the owner than at the ingress.
+func TestStalledUploadIsAnsweredWhenOwnerAnswersAtDeadline(t *testing.T) {
+	const timeout = time.Second
+	owner := newScriptedUpstream(t, func(s *scriptedUpstream, conn net.Conn, r *bufio.Reader) {
+		s.readHeaders(r)
+		writeText(conn, "HTTP/1.1 100 Continue\r\n\r\n")
+		// The ingress has begun to read the body when the response arrives.
+		time.Sleep(timeout / 4)
+		writeText(conn, "HTTP/1.1 504 Gateway Timeout\r\nLentilferry-Outcome: unknown\r\nLentilferry-Reason: deadline\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+	})
+	cluster := newTestCluster(t, timeout)
+	cluster.pool.Update([]membership.Member{ownerMember(owner.address)})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(cluster.url, "http://"))
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	began := time.Now()
+	_, err = io.WriteString(conn, "POST /commands HTTP/1.1\r\nHost: h\r\nContent-Length: 90000\r\n\r\n")
+	assert.NilError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	assert.Equal(t, response.StatusCode, http.StatusGatewayTimeout)
+	assert.Assert(t, time.Since(began) < timeout, "answered after %s", time.Since(began))
+}
