--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -264,7 +264,7 @@
 	suspected.Suspected = true
 	p.Update([]membership.Member{serving})
 	var recorder sync.WaitGroup
-	stop := make(chan struct{})
+	begun, stop := make(chan struct{}), make(chan struct{})
 	reports := 0
 	recorder.Go(func() {
 		for {
@@ -278,9 +278,14 @@
 				e.RecordLoad(_start, Load{Calls: reports, Slots: 2, AverageDuration: time.Second})
 				e.RecordFailure(_start)
 				_ = e.LoadSummary(_start)
+				if reports == 1 {
+					close(begun)
+				}
 			}
 		}
 	})
+	// On a busy machine all updates may be over before the first report.
+	<-begun
 	for i := range 2000 {
 		p.Update([]membership.Member{[]membership.Member{serving, suspected}[i%2]})
 	}
