admission, routing: Count late calls as one level less urgent, and distance more

A late answer counts as worth half now, which is one level. Calls to other regions and zones cost 260 and 30 ms.

--- a/admission/cost.go
+++ b/admission/cost.go
@@ -16,6 +16,9 @@
 	_levelsPerWorkspaceRank = 64
 	// _maxWorkspaceRank bounds the ranks that are told apart.
 	_maxWorkspaceRank = 1 << 10
+	// _lateLevels is by how many levels a late call is less urgent: a late answer
+	// counts as worth half.
+	_lateLevels = 1
 	// _minTurnSeconds is the recent work below which a workspace takes no turns:
 	// a few calls say nothing about its usual.
 	_minTurnSeconds = 1.0
@@ -52,21 +55,22 @@
 	return a.compare(b)
 }
 
-// compareByCost orders waiting calls by what a further wait costs their callers.
-// Calls that can still be in time go before late ones, whatever their rank: the
-// late ones have lost most of their use already, and the others would lose it by
-// waiting. Then go the more urgent and, of those, the shorter ones, which is the
-// order of levels. Workspaces of one rank take turns. The first to lose its use
-// goes first in the end.
+// compareByCost orders waiting calls by what a further wait costs their callers:
+// by level, which is higher by _lateLevels for a call that can't be in time. So a
+// late call, which has lost much of its use already, waits for those that it
+// would make late, but short calls that running ones wait for still go first.
+// Workspaces of one rank take turns. The first to lose its use goes first in the
+// end.
 func (t *Ticket) compareByCost(other *Ticket) int {
-	if t.late != other.late {
+	late := func(t *Ticket) int {
 		if t.late {
-			return 1
+			return _lateLevels
 		}
-		return -1
+		return 0
 	}
 	return cmp.Or(
-		cmp.Compare(t.level, other.level),
+		cmp.Compare(t.level+late(t), other.level+late(other)),
+		cmp.Compare(late(t), late(other)),
 		cmp.Compare(t.request.Rank, other.request.Rank),
 		cmp.Compare(t.turn, other.turn),
 		cmp.Compare(t.callerBacklog, other.callerBacklog),
--- a/routing/reported_load.go
+++ b/routing/reported_load.go
@@ -45,8 +45,8 @@
 	// region and to another region beside the time, since the links are paid by
 	// volume. While all upstreams are busy, a lower price moves calls between
 	// regions without more of them being in time.
-	_zonePrice   = 10 * time.Millisecond
-	_regionPrice = 120 * time.Millisecond
+	_zonePrice   = 30 * time.Millisecond
+	_regionPrice = 260 * time.Millisecond
 	// _regionBytePrice is the cost of each byte of a response from another region:
 	// a connection carries 3 MB/s over that distance, and the link is paid by
 	// volume.
