--- a/review/standins/backend.go
+++ b/review/standins/backend.go
@@ -68,6 +68,9 @@
 	m       *machine
 	version string
 	slots   int
+	// pingDelay is by how much the backend's pings arrive late.
+	pingDelay time.Duration
+	stopOnce  sync.Once
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -87,14 +90,19 @@
 	breakEvery, answered int
 }
 
-// startBackend starts the backend of a machine, which pings its node.
-func (w *world) startBackend(m *machine, id string) *backend {
+// newBackend returns the backend of a machine, which does not serve yet.
+func (w *world) newBackend(m *machine, id string) *backend {
 	listener, err := net.Listen("tcp", m.address(m.ports.app))
 	check(err)
-	b := &backend{
+	return &backend{
 		w: w, m: m, version: "v1", slots: 12, listener: listener, conns: make(map[net.Conn]bool),
 		id: id, born: time.Now().UnixMilli(), state: "ready", stopBeat: make(chan struct{}),
 	}
+}
+
+// startBackend starts the backend of a machine, which pings its node.
+func (w *world) startBackend(m *machine, id string) *backend {
+	b := w.newBackend(m, id)
 	go b.accept()
 	go b.beat()
 	return b
@@ -115,7 +123,7 @@
 
 // end ends the backend and its channels.
 func (b *backend) end() {
-	close(b.stopBeat)
+	b.stopPings()
 	_ = b.listener.Close()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -160,10 +168,23 @@
 	return len(conns), reset
 }
 
-// beat pings the node about every 1.5 s.
+// stopPings makes the backend send no more pings.
+func (b *backend) stopPings() {
+	b.stopOnce.Do(func() { close(b.stopBeat) })
+}
+
+// beat pings the node about every 1.5 s. Pings that are late are under way
+// meanwhile.
 func (b *backend) beat() {
 	for {
-		b.ping()
+		body, delay := b.pingBody(), b.pingDelay
+		go func() {
+			time.Sleep(delay)
+			acknowledged := b.post("heartbeat", body)
+			if delay > 0 {
+				b.w.log("ping of backend %s arrived %s late, acknowledged %v: %s", b.id, delay, acknowledged, body)
+			}
+		}()
 		select {
 		case <-b.stopBeat:
 			return
@@ -185,11 +206,6 @@
 	return body
 }
 
-// ping sends a ping, and returns whether it was acknowledged.
-func (b *backend) ping() bool {
-	return b.post("heartbeat", b.pingBody())
-}
-
 // post sends a call to the node's control address.
 func (b *backend) post(call string, body []byte) bool {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -12,6 +12,7 @@
 // cases returns whether the rule held.
 var cases = map[string]func(w *world, trouble bool) (held bool){
 	"early-answer": earlyAnswer,
+	"late-ping":    latePing,
 	"fuzz":         fuzz,
 	"cut-pipeline": cutPipeline,
 	"encoded-path": encodedPath,
