--- a/review/standins/late_ping.go
+++ b/review/standins/late_ping.go
@@ -14,7 +14,7 @@
 // latePing is the case of a backend that starts again under its id, whose first
 // pings are late, and that leaves before they arrive.
 func latePing(w *world, trouble bool) bool {
-	w.addMachines("orders", "a", "b", "c")
+	w.addMachines("orders", "a", "b", "c", "d", "e", "f", "g")
 	w.putConfig(1, []string{"orders"}, route("once", "/once/", "non_idempotent", "orders", "2000ms"), route("idem", "/idem/", "idempotent", "orders", "2000ms"))
 	var backends []*backend
 	for i, m := range w.machines {
