call, socket: Count how responses without a length end

A response without a length ends with its connection, so what decides is which end of the connection is believed, and nothing showed that. Three hypotheses: the error of a reset is returned to sending the request, so that reading ends in order; it is returned to the look at an idle connection; or reading gets it and loses it.

socket.FindEnding tells from the state of the TCP connection whether the peer closed it in order. upstreamEndings counts each response without a length by it, and owners log responses that they abort.

Responses are passed on as before.

--- a/call/owner.go
+++ b/call/owner.go
@@ -159,6 +159,8 @@
 	o.passLoad(w.Header(), response.Header)
 	if err := copyResponse(w, response, time.Time{}); err != nil {
 		o.deps.Metrics.count(Result{Outcome: Unknown, Reason: ReasonConnectionBroken})
+		o.deps.Logger.Info("Aborted response", "call", f.id, "route", f.route, "status", response.StatusCode,
+			"length", response.ContentLength, "left", now.Add(remaining).Sub(o.deps.Now()), "cause", err.Error())
 		// Aborting the connection shows the ingress that the response is
 		// incomplete. Returning would make it look complete but shorter.
 		panic(http.ErrAbortHandler)
--- a/call/upstream_client.go
+++ b/call/upstream_client.go
@@ -70,6 +70,9 @@
 	process uint64
 	// refused is set while the upstream's address refuses connections.
 	refused bool
+
+	// endings counts the close-delimited responses by how they ended.
+	endings endingCounts
 }
 
 var (
@@ -163,11 +166,11 @@
 	// Closing the connection when the context ends cancels the call at the
 	// upstream too.
 	stopCancel := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	sendErr := make(chan error, 1)
+	sending := &sending{done: make(chan struct{})}
 	if request.ContentLength >= 0 && request.ContentLength <= _maxInlineBodyBytes {
-		sendErr <- conn.send(request)
+		sending.run(conn, request)
 	} else {
-		go func() { sendErr <- conn.send(request) }()
+		go sending.run(conn, request)
 	}
 	response, err := c.receive(conn, request)
 	if err != nil {
@@ -178,13 +181,40 @@
 		}
 		return nil, err
 	}
+	if !isSelfDelimiting(response) {
+		response.Body = &closeDelimitedBody{ReadCloser: response.Body, client: c, conn: conn.Conn, sending: sending}
+	}
 	response.Body = &responseBody{
-		ReadCloser: response.Body, client: c, conn: conn, stopCancel: stopCancel, sendErr: sendErr, response: response,
+		ReadCloser: response.Body, client: c, conn: conn, stopCancel: stopCancel, sending: sending, response: response,
 		reachedEOF: response.ContentLength == 0 || response.Body == http.NoBody,
 	}
 	return response, nil
 }
 
+// sending is the sending of one request.
+type sending struct {
+	// done is closed once the whole request was sent or sending it has failed.
+	done chan struct{}
+	// err is why it has failed; nil otherwise. It is set before done is closed.
+	err error
+}
+
+// run sends the request.
+func (s *sending) run(conn *upstreamConn, request *http.Request) {
+	defer close(s.done)
+	s.err = conn.send(request)
+}
+
+// hasSucceeded reports whether the whole request was sent.
+func (s *sending) hasSucceeded() bool {
+	select {
+	case <-s.done:
+		return s.err == nil
+	default:
+		return false
+	}
+}
+
 // send writes the whole request.
 func (conn *upstreamConn) send(request *http.Request) error {
 	if err := request.Write(conn.writer); err != nil {
@@ -348,51 +378,3 @@
 	}
 	return _upstreamIdleTimeout
 }
-
-// responseBody is a response's body. Closing it returns the connection to the
-// client.
-type responseBody struct {
-	io.ReadCloser
-	client   *UpstreamClient
-	conn     *upstreamConn
-	response *http.Response
-	// stopCancel keeps the end of the context from closing the connection. It
-	// returns false when that has already happened.
-	stopCancel func() bool
-	// sendErr gets the result of sending the request.
-	sendErr chan error
-	// reachedEOF is set once the body was read to its end.
-	reachedEOF bool
-	closeOnce  sync.Once
-}
-
-// Read reads the body and records its end.
-func (b *responseBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
-		b.reachedEOF = true
-	}
-	return n, err
-}
-
-// Close returns the connection to the client if the body was read to its end
-// and the whole request was sent, and closes it otherwise.
-func (b *responseBody) Close() error {
-	b.closeOnce.Do(func() {
-		mayReuse := b.stopCancel() && b.reachedEOF
-		select {
-		case err := <-b.sendErr:
-			mayReuse = mayReuse && err == nil
-		default:
-			// The request is still being sent. The upstream would take the next
-			// call for the rest of its body.
-			mayReuse = false
-		}
-		if mayReuse {
-			b.client.putIdle(b.conn, b.response)
-		} else {
-			_ = b.conn.Close()
-		}
-	})
-	return nil
-}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -18,6 +18,13 @@
 	gauge("upstreamWaiting", func() uint64 { return uint64(n.gate.Load().Waiting) })
 	gauge("upstreamLimit", func() uint64 { return uint64(n.gate.Load().Limit) })
 	gauge("upstreamLoadInvalid", n.upstreamLoad.InvalidCount)
+	n.metrics.Set("upstreamEndings", expvar.Func(func() any {
+		counts := n.upstreamClient.EndingCounts()
+		return map[string]uint64{
+			"closed": counts.Closed, "failedReading": counts.FailedReading,
+			"failedSending": counts.FailedSending, "failedUnseen": counts.FailedUnseen,
+		}
+	}))
 	n.metrics.Set("upstreamSlowness", expvar.Func(func() any { return n.upstreamLoad.Slowness(n.deps.Now()) }))
 	gauge("membersGone", func() uint64 { return uint64(len(n.members.Members()) - n.members.MemberCount()) })
 	gauge("ordersUnderWay", func() uint64 { return uint64(len(n.orderTable.Active())) })
--- a/node/node.go
+++ b/node/node.go
@@ -260,6 +260,8 @@
 	rndMu sync.Mutex
 	rnd   *rand.Rand
 
+	// upstreamClient sends calls to the node's own upstream.
+	upstreamClient *call.UpstreamClient
 	// healthTransport carries health checks to the node's own upstream.
 	healthTransport http.RoundTripper
 	// transports have their idle connections closed when the node ends.
@@ -420,7 +422,7 @@
 	}
 	toUpstream, toPeers := call.NewUpstreamClient(idle, n.deps.Dialect), call.NewForwardTransport()
 	n.transports = append(n.transports, toUpstream, toPeers)
-	n.healthTransport = toUpstream
+	n.upstreamClient, n.healthTransport = toUpstream, toUpstream
 	if n.upstreamRegistry != nil {
 		// Responses to health checks lack what marks responses to calls.
 		n.healthTransport = &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: _maxRequestHeaderBytes}
