call: Reset the connection of an HTTP/1.0 caller whose response breaks off

A caller of HTTP/1.0 got a long response that broke off at the upstream as a whole one: without chunks its end is that of the connection, which was closed in order. HTTP/1.1 callers see the framing, and for them nothing changes.

--- a/common/socket/socket.go
+++ b/common/socket/socket.go
@@ -1,5 +1,5 @@
 // Package socket tells what a connection's receive buffer holds without reading
-// from it, and bounds what its send buffer holds.
+// from it and how the peer has ended it, and bounds what its send buffer holds.
 package socket
 
 import (
@@ -75,6 +75,20 @@
 	return errors.Wrap(errors.CombineErrors(err, sockoptErr), "bound unsent bytes")
 }
 
+// ResetOnClose makes closing the connection reset it, which discards what was not
+// sent yet. The error says that the connection is closed or is no socket.
+func ResetOnClose(conn net.Conn) error {
+	raw, err := rawConn(conn)
+	if err != nil {
+		return err
+	}
+	var sockoptErr error
+	err = raw.Control(func(fd uintptr) {
+		sockoptErr = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	})
+	return errors.Wrap(errors.CombineErrors(err, sockoptErr), "reset on close")
+}
+
 func rawConn(conn net.Conn) (syscall.RawConn, error) {
 	socket, ok := conn.(syscall.Conn)
 	if !ok {
