call: Name the error of sending in the cause of a cut response

The cause in the log said only that the connection had failed before the end of the response. Nothing else changes.

--- a/call/close_delimited.go
+++ b/call/close_delimited.go
@@ -105,6 +105,6 @@
 		return io.EOF
 	default:
 		b.counts.failedSending.Add(1)
-		return errors.CombineErrors(errCutResponse, err)
+		return errors.Mark(errors.Wrap(err, errCutResponse.Error()), errCutResponse)
 	}
 }
