call: Keep the reset of close-delimited responses with their other rules

resetUnframed used a word of its own for what the glossary calls close-delimited, and stood in a file about ingress calls. It is renamed and moved; nothing else changes.

--- a/call/close_delimited.go
+++ b/call/close_delimited.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
@@ -108,3 +109,12 @@
 		return errors.Mark(errors.Wrap(err, errCutResponse.Error()), errCutResponse)
 	}
 }
+
+// resetCloseDelimited makes closing the connection of an HTTP/1.0 caller a reset.
+// A response to it may have no length, and then an orderly close is its regular end.
+func resetCloseDelimited(r *http.Request) {
+	if conn, ok := Conn(r.Context()); ok && !r.ProtoAtLeast(1, 1) {
+		// Fails only on a closed connection.
+		_ = socket.ResetOnClose(conn)
+	}
+}
--- a/call/ingress_call.go
+++ b/call/ingress_call.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"time"
 
-	"lentilferry.example/lentilferry/common/socket"
 	"lentilferry.example/lentilferry/config"
 	"lentilferry.example/lentilferry/routing"
 )
@@ -339,20 +338,11 @@
 			"status", response.StatusCode, "length", response.ContentLength, "left", c.deadline.Sub(c.ingress.deps.Now()), "cause", err.Error())
 		// Aborting the connection shows the caller that the response is
 		// incomplete. Returning would make it look complete but shorter.
-		resetUnframed(c.request)
+		resetCloseDelimited(c.request)
 		panic(http.ErrAbortHandler)
 	}
 }
 
-// resetUnframed makes the end of an HTTP/1.0 caller's connection a reset. Its
-// response may have no length, and an orderly close would be its regular end.
-func resetUnframed(r *http.Request) {
-	if conn, ok := Conn(r.Context()); ok && !r.ProtoAtLeast(1, 1) {
-		// Fails only on a closed connection.
-		_ = socket.ResetOnClose(conn)
-	}
-}
-
 // rankOf returns a route's priority; 0 is the highest. Among routes that state
 // neither a rank nor an objective, commands come before lookups.
 func rankOf(route *config.Route) uint32 {
